--- a/cmd/wirehost/main.go
+++ b/cmd/wirehost/main.go
@@ -6,7 +6,7 @@
 	"fmt"
 	"os"
 
-	"saffronspread/internal/wire"
+	"tealtiller/internal/wire"
 )
 
 func main() {
--- a/internal/wire/decode.go
+++ b/internal/wire/decode.go
@@ -11,7 +11,7 @@
 
 	"github.com/mailru/easyjson/jlexer"
 
-	"saffronspread/policy"
+	"tealtiller/policy"
 )
 
 // Kind is the kind of a line.
--- a/internal/wire/host.go
+++ b/internal/wire/host.go
@@ -8,7 +8,7 @@
 	"io"
 	"time"
 
-	"saffronspread/policy"
+	"tealtiller/policy"
 )
 
 // Host runs the instances of one process. They share nothing but the wire's numbered lists of servers.
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -7,7 +7,7 @@
 	"testing"
 	"time"
 
-	"saffronspread/policy"
+	"tealtiller/policy"
 )
 
 const boot = `{"powerOn":{"balancer":%d,"prng":7,"bootInfo":{"siblings":2,"tick":5000000,"unknownKey":[1],` +
--- a/policy/example_test.go
+++ b/policy/example_test.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"time"
 
-	"saffronspread/policy"
+	"tealtiller/policy"
 )
 
 // printer is a host that prints what it is told to do.
