--- /dev/null
+++ b/internal/line/line.go
@@ -0,0 +1,153 @@
+// Package line parses the lines that clients and desk hosts send. What goes on unchanged is kept as the
+// bytes that came.
+package line
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"strconv"
+	"time"
+)
+
+// Most is the longest line, its end included.
+const Most = 4096
+
+// Errors of lines.
+var (
+	ErrTooLong = errors.New("line over 4096 bytes")
+	errNoOpen  = errors.New("want OPEN ID KEY LIST")
+)
+
+// Cut takes the first line off a buffer, its end included. It is empty where the line is not complete yet.
+func Cut(buf []byte) (line []byte, err error) {
+	i := bytes.IndexByte(buf, '\n')
+	switch {
+	case i >= Most, i < 0 && len(buf) >= Most:
+		return nil, ErrTooLong
+	case i < 0:
+		return nil, nil
+	}
+	return buf[:i+1], nil
+}
+
+// Kind is what a line says, told by its first word.
+type Kind int
+
+// The kinds of lines.
+const (
+	Other Kind = iota
+	Open
+	Ping
+	Stats
+	Up
+	Busy
+	Bye
+	Move
+	Err
+	Load
+)
+
+var kinds = map[string]Kind{"OPEN": Open, "PING": Ping, "STATS": Stats, "UP": Up, "BUSY": Busy, "BYE": Bye,
+	"MOVE": Move, "ERR": Err, "LOAD": Load}
+
+// Parse tells the kind of a line and what follows its first word.
+func Parse(line []byte) (Kind, []byte) {
+	word, rest, _ := bytes.Cut(bytes.TrimRight(line, "\r\n"), []byte(" "))
+	return kinds[string(word)], rest
+}
+
+// LoadOf reads the figure of a LOAD line.
+func LoadOf(rest []byte) (level float64, ok bool) {
+	level, err := strconv.ParseFloat(string(rest), 64)
+	return level, err == nil && level >= 0 && level <= 1e12
+}
+
+// Opening is a parsed OPEN line.
+type Opening struct {
+	Class    string
+	Key      uint64
+	Group    uint64
+	HasGroup bool
+	Wait     time.Duration // how long the client waits
+	MidFlow  bool
+	Returned bool
+	At       string // the desk host that already holds the connection
+
+	text     []byte // the line as it came
+	from, to int    // where the figure of d stands in it
+}
+
+const longestWait = 24 * time.Hour
+
+// ParseOpening reads an OPEN line. It keeps a copy of its bytes.
+func ParseOpening(line []byte) (Opening, error) {
+	o := Opening{text: bytes.Clone(line)}
+	body := bytes.TrimSuffix(bytes.TrimSuffix(o.text, []byte("\n")), []byte("\r"))
+	for _, c := range body {
+		if c < ' ' || c == 0x7f {
+			return o, errors.New("a control character in OPEN")
+		}
+	}
+	words := bytes.Split(body, []byte(" "))
+	if len(words) != 4 || string(words[0]) != "OPEN" || len(words[1]) == 0 {
+		return o, errNoOpen
+	}
+	var err error
+	if o.Key, err = hex(words[2]); err != nil {
+		return o, fmt.Errorf("key: %w", err)
+	}
+	at := len(body) - len(words[3])
+	for _, field := range bytes.Split(words[3], []byte(",")) {
+		name, value, ok := bytes.Cut(field, []byte("="))
+		if !ok || len(value) == 0 {
+			return o, errors.New("want NAME=VALUE in the list of OPEN")
+		}
+		if err := o.field(string(name), value, at+len(name)+1); err != nil {
+			return o, fmt.Errorf("%s: %w", name, err)
+		}
+		at += len(field) + 1
+	}
+	if o.Class == "" || o.to == 0 {
+		return o, errors.New("OPEN lacks c or d")
+	}
+	return o, nil
+}
+
+func (o *Opening) field(name string, value []byte, at int) (err error) {
+	switch name {
+	case "c":
+		o.Class = string(value)
+	case "d":
+		ms, err := strconv.ParseUint(string(value), 10, 32)
+		if o.Wait = time.Duration(ms) * time.Millisecond; err != nil || o.to > 0 || o.Wait > longestWait {
+			return errors.New("want one figure in milliseconds")
+		}
+		o.from, o.to = at, at+len(value)
+	case "g":
+		o.Group, err = hex(value)
+		o.HasGroup = true
+	case "mid":
+		o.MidFlow = string(value) == "1"
+	case "again":
+		o.Returned = string(value) == "1"
+	case "at":
+		o.At = string(value)
+	}
+	return err
+}
+
+func hex(text []byte) (uint64, error) {
+	n, err := strconv.ParseUint(string(text), 16, 64)
+	if err != nil {
+		return 0, errors.New("want a hexadecimal number")
+	}
+	return n, nil
+}
+
+// Forward is the line as it came, but for how long the sender will wait: at least a millisecond.
+func (o *Opening) Forward(wait time.Duration) []byte {
+	out := append([]byte(nil), o.text[:o.from]...)
+	out = strconv.AppendInt(out, max(wait.Milliseconds(), 1), 10)
+	return append(out, o.text[o.to:]...)
+}
--- /dev/null
+++ b/internal/net/carrier.go
@@ -0,0 +1,63 @@
+package net
+
+import (
+	"fmt"
+	"log"
+	"time"
+
+	"tealtiller/internal/operation"
+	"tealtiller/internal/slot"
+)
+
+// carrier carries out the actions of the operations; their owners are the numbers of front sockets.
+type carrier struct{ node *Node }
+
+var _ operation.Carrier = carrier{}
+
+func (c carrier) Begin(owner slot.ID, server string, until time.Duration) error {
+	f, ok := c.node.fronts.Get(owner)
+	if !ok {
+		return fmt.Errorf("front socket %d is gone", owner)
+	}
+	return c.node.begin(f, server, until)
+}
+
+func (c carrier) Abandon(owner slot.ID) (sent bool) {
+	f, ok := c.node.fronts.Get(owner)
+	if !ok || f.desk == nil {
+		return false
+	}
+	d := f.desk
+	d.drop(false)
+	return d.sent
+}
+
+func (c carrier) Busy(owner slot.ID, retryAfter time.Duration) {
+	c.node.count.Add("operations answered: busy")
+	if f, ok := c.node.fronts.Get(owner); ok {
+		text := "BUSY\r\n"
+		if retryAfter > 0 {
+			text = fmt.Sprintf("BUSY %d\r\n", (retryAfter+time.Millisecond-1)/time.Millisecond)
+		}
+		f.answer(c.node.now(), text)
+	}
+}
+
+func (c carrier) Failed(owner slot.ID) {
+	c.node.count.Add("operations answered: failed")
+	if f, ok := c.node.fronts.Get(owner); ok {
+		f.answer(c.node.now(), "ERR\r\n")
+	}
+}
+
+func (c carrier) Move(owner slot.ID) {
+	if f, ok := c.node.fronts.Get(owner); ok && f.desk != nil {
+		d := f.desk
+		f.move(c.node.now())
+		d.drop(false)
+	}
+}
+
+func (c carrier) Watch(on bool) { c.node.pool.watch(on) }
+
+func (c carrier) Log(text string) { log.Printf("%s: %s", c.node.cfg.Name, text) }
--- /dev/null
+++ b/internal/net/desk.go
@@ -0,0 +1,238 @@
+package net
+
+import (
+	"context"
+	"errors"
+	stdnet "net"
+	"time"
+
+	"github.com/panjf2000/gnet/v2"
+
+	"tealtiller/internal/deadline"
+	"tealtiller/internal/line"
+	"tealtiller/internal/slot"
+	"tealtiller/policy"
+)
+
+// desk is the socket of one route step, and of the connection that it brought up.
+type desk struct {
+	node    *Node
+	id      slot.ID
+	front   *front
+	server  string
+	until   time.Duration
+	cancel  context.CancelFunc // of the dialling
+	conn    gnet.Conn
+	sent    bool // the first line is written
+	up      bool
+	over    bool          // its outcome is told
+	last    policy.Result // what its end will mean
+	askedAt time.Duration // when the client's first line that is still unanswered went on
+	silent  *deadline.Deadline
+}
+
+const dialTimeout = 150 * time.Millisecond // where the settings tell none
+
+// begin dials a desk host off the loop and sends it the client's first line.
+func (n *Node) begin(f *front, server string, until time.Duration) error {
+	address, ok := n.addresses[server]
+	if !ok {
+		return errors.New("no address of " + server)
+	}
+	d := &desk{node: n, front: f, server: server, until: until, last: policy.Reset}
+	d.id = n.desks.Add(d)
+	f.desk = d
+	wait := n.cfg.Settings.ConnectTimeout
+	if wait <= 0 {
+		wait = dialTimeout
+	}
+	if f.opening.At != "" { // all come at once, and none has anywhere else to go
+		wait = until - n.now()
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), min(wait, until-n.now()))
+	d.cancel = cancel
+	go n.dial(ctx, d, address.String())
+	return nil
+}
+
+func (n *Node) dial(ctx context.Context, s socket, address string) {
+	dialer := stdnet.Dialer{KeepAlive: -1}
+	c, err := dialer.DialContext(ctx, "tcp", address)
+	if err == nil {
+		if _, err = n.loop.Enroll(gnet.NewContext(context.Background(), s), c); err != nil {
+			_ = c.Close()
+		}
+	}
+	if err != nil {
+		n.post(func(now time.Duration) { s.closed(now, false) })
+	}
+}
+
+// opened sends the first line as it came, but for how long we wait.
+func (d *desk) opened(now time.Duration, c gnet.Conn) gnet.Action {
+	d.cancel()
+	d.conn = c
+	if d.over {
+		return gnet.Close
+	}
+	d.sent = true
+	d.node.write(c, d.front.opening.Forward(d.until-now))
+	return gnet.None
+}
+
+// traffic reads what the desk host answers, and passes on whole lines once the connection stands.
+func (d *desk) traffic(now time.Duration) {
+	for d.conn != nil && !d.over {
+		buf, _ := d.conn.Peek(-1)
+		text, err := line.Cut(buf)
+		if err != nil {
+			d.node.count.Add("desk hosts cut off: line too long")
+			d.close(now, true, policy.Reset)
+			return
+		}
+		if len(text) == 0 {
+			return
+		}
+		if d.up {
+			d.relay(now, buf)
+			return
+		}
+		d.answered(now, text)
+		if d.conn != nil {
+			_, _ = d.conn.Discard(len(text))
+		}
+	}
+}
+
+// answered takes the answer to the first line.
+func (d *desk) answered(now time.Duration, text []byte) {
+	kind, _ := line.Parse(text)
+	switch kind {
+	case line.Up:
+		d.up = true
+		d.node.count.Add("operations served")
+		d.node.write(d.front.conn, text)
+		d.node.table.Up(now, d.front.op)
+		d.front.traffic(now)
+	case line.Busy:
+		d.close(now, false, policy.TurnedAway)
+	case line.Move:
+		d.close(now, false, policy.Cancelled)
+	default:
+		d.close(now, false, policy.Error)
+	}
+}
+
+func (d *desk) relay(now time.Duration, buf []byte) {
+	n, f := d.node, d.front
+	end := 0
+	for end < len(buf) {
+		text, err := line.Cut(buf[end:])
+		if err != nil || len(text) == 0 {
+			break // too long: the next call finds it in front
+		}
+		end += len(text)
+		n.count.Add("lines from desk hosts")
+		switch kind, rest := line.Parse(text); kind {
+		case line.Load:
+			if level, ok := line.LoadOf(rest); ok {
+				n.table.Note(now, f.op, policy.NoteLoad, level)
+			}
+		case line.Bye:
+			d.last = policy.OK
+			d.heard(now)
+		case line.Move:
+			d.last = policy.Cancelled
+			d.heard(now)
+		default:
+			d.heard(now)
+		}
+		if d.over { // moved by what the note told
+			return
+		}
+	}
+	n.write(f.conn, buf[:end])
+	if d.conn != nil {
+		_, _ = d.conn.Discard(end)
+	}
+}
+
+// silence is how long a client's line may stay unanswered. Danger: a machine that vanished says nothing, and
+// its clients must be let go within 7 s; they send a line every 2 s.
+const silence = 3500 * time.Millisecond
+
+// asked tells that a client's line has gone on to the desk host.
+func (d *desk) asked(now time.Duration) {
+	if d.askedAt == 0 {
+		d.askedAt = now
+		d.silent = d.node.deadlines.Set(now+silence, func(now time.Duration) {
+			d.node.count.Add("connections moved: silent desk host")
+			d.front.move(now)
+			d.close(now, false, policy.Reset)
+		})
+	}
+}
+
+// heard tells that a line has come from the desk host.
+func (d *desk) heard(now time.Duration) {
+	if d.askedAt > 0 {
+		d.node.deadlines.Stop(d.silent)
+		d.node.delays.measured(d, now-d.askedAt)
+		d.askedAt = 0
+	}
+}
+
+// move sends the client of a standing connection away.
+func (d *desk) move(now time.Duration) {
+	d.front.move(now)
+	d.close(now, false, policy.Cancelled)
+}
+
+// move says MOVE to the client. Only whole lines are ever passed on, so it stands between two.
+func (f *front) move(now time.Duration) {
+	f.node.count.Add("clients moved")
+	f.answer(now, "MOVE\r\n")
+}
+
+// drop ends the socket without telling any outcome.
+func (d *desk) drop(reset bool) {
+	d.over = true
+	d.cancel()
+	d.node.deadlines.Stop(d.silent)
+	d.node.desks.Remove(d.id)
+	if d.front.desk == d {
+		d.front.desk = nil
+	}
+	d.node.end(d.conn, reset)
+}
+
+// close ends the socket and tells the outcome.
+func (d *desk) close(now time.Duration, reset bool, result policy.Result) {
+	if !d.over {
+		d.drop(reset)
+		d.node.table.Ended(now, d.front.op, result)
+	}
+}
+
+func (d *desk) detach() { d.conn = nil }
+
+// closed takes the end of the connection, or that it never came up.
+func (d *desk) closed(now time.Duration, reset bool) {
+	if d.over {
+		return
+	}
+	result := d.last
+	if !d.sent {
+		result = policy.ConnectFailed
+	}
+	if d.up { // the client's side ends in the same way
+		d.node.count.Add("standing connections ended by desk hosts")
+		if reset {
+			d.front.ending = true
+			d.node.end(d.front.conn, true)
+		} else {
+			d.front.finish(now)
+		}
+	}
+	d.close(now, false, result)
+}
--- /dev/null
+++ b/internal/net/front.go
@@ -0,0 +1,214 @@
+package net
+
+import (
+	"fmt"
+	"syscall"
+	"time"
+
+	"github.com/panjf2000/gnet/v2"
+
+	"tealtiller/internal/line"
+	"tealtiller/internal/slot"
+	"tealtiller/policy"
+)
+
+// front is the client's side of an operation.
+type front struct {
+	node    *Node
+	id      slot.ID
+	conn    gnet.Conn // nil once closed
+	op      slot.ID
+	opening line.Opening
+	taken   bool // its OPEN came: lines that follow wait for UP
+	desk    *desk
+	ending  bool // we have said our last; what still comes is thrown away
+	linger  bool
+}
+
+func newFront(n *Node) *front {
+	f := &front{node: n}
+	f.id = n.fronts.Add(f)
+	return f
+}
+
+// reserve is what stays free of the descriptors for dialling, discovery and what the runtime needs.
+const reserve = 64
+
+func (f *front) opened(_ time.Duration, c gnet.Conn) gnet.Action {
+	f.conn = c
+	f.node.count.Add("front sockets accepted")
+	// Danger: a listener that finds no descriptor ends the whole event loop.
+	if limit := f.node.cfg.Sockets; limit > 0 && f.node.fronts.Len()+f.node.desks.Len() > limit-reserve {
+		f.node.count.Add("front sockets refused: too many")
+		return gnet.Close
+	}
+	return gnet.None
+}
+
+// traffic reads lines until the first that must wait.
+func (f *front) traffic(now time.Duration) {
+	for f.conn != nil && f.conn.InboundBuffered() > 0 {
+		if f.ending {
+			_, _ = f.conn.Discard(-1)
+			return
+		}
+		if f.taken {
+			f.relay(now)
+			return
+		}
+		buf, _ := f.conn.Peek(-1)
+		text, err := line.Cut(buf)
+		if err != nil {
+			f.malformed(now, err)
+			return
+		}
+		if len(text) == 0 {
+			return
+		}
+		f.first(now, text)
+		if f.conn != nil {
+			_, _ = f.conn.Discard(len(text))
+		}
+	}
+}
+
+// first answers a line of a front socket that has not opened a connection yet.
+func (f *front) first(now time.Duration, text []byte) {
+	kind, _ := line.Parse(text)
+	switch kind {
+	case line.Ping, line.Stats:
+		f.node.count.Add("probes answered")
+		switch {
+		case f.node.stopping:
+			f.say("ERR\r\n")
+		case kind == line.Ping:
+			f.say("PONG\r\n")
+		default:
+			f.say(fmt.Sprintf("PONG inflight=%d\r\n", f.node.table.Len()))
+		}
+	case line.Open:
+		opening, err := line.ParseOpening(text)
+		if err == nil {
+			if _, known := f.node.cfg.Settings.Policy.Classes[opening.Class]; !known {
+				err = fmt.Errorf("no class %q", opening.Class)
+			}
+		}
+		if err != nil {
+			f.malformed(now, err)
+			return
+		}
+		f.open(now, opening)
+	default:
+		f.malformed(now, fmt.Errorf("want OPEN, PING or STATS"))
+	}
+}
+
+// margin is taken off a client's time, for the way of our answer.
+const margin = 20 * time.Millisecond
+
+func (f *front) open(now time.Duration, o line.Opening) {
+	n := f.node
+	f.opening, f.taken = o, true
+	n.lastOpen = now
+	n.count.Add("operations taken")
+	q := policy.Request{Class: o.Class, Key: o.Key, HasKey: true, TTL: max(o.Wait-margin, 0),
+		MidFlow: o.MidFlow, Returned: o.Returned}
+	if n.cfg.Settings.Groups && o.HasGroup {
+		q.Key = o.Group
+	}
+	// The number of an operation is known only when it has been taken, yet its first route step or answer
+	// comes before that; it finds this front by its own number.
+	if o.At != "" {
+		n.count.Add("operations handed over")
+		f.op = n.table.Hand(now, f.id, q, o.At)
+		return
+	}
+	if o.MidFlow {
+		n.count.Add("operations mid-flow")
+	}
+	f.op = n.table.Take(now, f.id, q)
+}
+
+// say writes a line of our own.
+func (f *front) say(text string) { f.node.write(f.conn, []byte(text)) }
+
+// malformed answers what makes no sense with one error line.
+func (f *front) malformed(now time.Duration, err error) {
+	f.node.count.Add("lines refused: malformed")
+	f.answer(now, "ERR "+err.Error()+"\r\n")
+}
+
+// answer says the last line to the client.
+func (f *front) answer(now time.Duration, text string) {
+	f.say(text)
+	f.finish(now)
+}
+
+const lingering = time.Second
+
+// finish ends our sending; the client's end closes the socket. Danger: closing at once, with a line of the
+// client's unread, would reset the connection, and our last line might never be seen.
+func (f *front) finish(now time.Duration) {
+	f.ending = true
+	if f.conn == nil || f.linger {
+		return
+	}
+	f.linger = true
+	if f.conn.OutboundBuffered() > 0 || syscall.Shutdown(f.conn.Fd(), syscall.SHUT_WR) != nil {
+		f.node.end(f.conn, false)
+		return
+	}
+	f.node.deadlines.Set(now+lingering, func(time.Duration) { f.node.end(f.conn, false) })
+}
+
+// relay passes whole lines on to the desk host once the connection stands.
+func (f *front) relay(now time.Duration) {
+	d := f.desk
+	if d == nil || !d.up {
+		if f.conn.InboundBuffered() > mostBuffered {
+			f.node.count.Add("lines refused: too many before UP")
+			f.node.end(f.conn, true)
+		}
+		return
+	}
+	buf, _ := f.conn.Peek(-1)
+	end := 0
+	for end < len(buf) {
+		text, err := line.Cut(buf[end:])
+		if err != nil {
+			f.malformed(now, err)
+			d.close(now, false, policy.Cancelled)
+			return
+		}
+		if len(text) == 0 {
+			break
+		}
+		end += len(text)
+		f.node.count.Add("lines from clients")
+	}
+	if end == 0 {
+		return
+	}
+	d.asked(now)
+	f.node.write(d.conn, buf[:end])
+	if f.conn != nil {
+		_, _ = f.conn.Discard(end)
+	}
+}
+
+func (f *front) detach() { f.conn = nil }
+
+func (f *front) closed(now time.Duration, reset bool) {
+	defer f.node.fronts.Remove(f.id) // last: its route step is found by its number
+	if !f.taken || f.ending {
+		return
+	}
+	f.ending = true
+	if d := f.desk; d != nil && d.up {
+		f.node.count.Add("clients gone from standing connections")
+		d.close(now, reset, policy.Cancelled)
+		return
+	}
+	f.node.count.Add("clients gone before their answer")
+	f.node.table.Left(now, f.op)
+}
--- /dev/null
+++ b/internal/net/node.go
@@ -0,0 +1,313 @@
+// Package net is the balancer on sockets: the front sockets of the clients, the sockets to the desk hosts and
+// the one to discovery, all on one gnet event loop. The loop owns all state; other goroutines report to it
+// through post.
+package net
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log"
+	stdnet "net"
+	"net/netip"
+	"os"
+	"syscall"
+	"time"
+
+	"github.com/panjf2000/gnet/v2"
+	"github.com/panjf2000/gnet/v2/pkg/logging"
+
+	"tealtiller/internal/counters"
+	"tealtiller/internal/deadline"
+	"tealtiller/internal/operation"
+	"tealtiller/internal/poolconfig"
+	"tealtiller/internal/settings"
+	"tealtiller/internal/slot"
+	"tealtiller/policy"
+)
+
+// Node is one balancer. Its gnet callbacks and all its methods but Run, Drain and Report belong to the loop.
+type Node struct {
+	gnet.BuiltinEventEngine
+	cfg       settings.Config
+	known     *poolconfig.List
+	out       io.Writer // of counters
+	engine    gnet.Engine
+	loop      gnet.EventLoop
+	booted    chan struct{} // closed when loop is known
+	origin    time.Time
+	table     *operation.Table
+	deadlines deadline.Queue
+	count     counters.Set
+	fronts    slot.Table[*front]
+	desks     slot.Table[*desk]
+	addresses map[string]netip.AddrPort
+	pool      pool
+	delays    delays
+
+	events   []func(now time.Duration)
+	busy     bool
+	timer    *time.Timer
+	timerAt  time.Duration
+	stopping bool
+	lastOpen time.Duration // when the last OPEN came
+	stopped  chan struct{}
+}
+
+// socket is what stands behind a gnet connection.
+type socket interface {
+	opened(now time.Duration, c gnet.Conn) gnet.Action
+	traffic(now time.Duration)
+	detach() // the connection must not be touched any more
+	closed(now time.Duration, reset bool)
+}
+
+// NewNode makes a balancer that writes its counters to out.
+func NewNode(cfg settings.Config, known *poolconfig.List, out io.Writer) *Node {
+	n := &Node{cfg: cfg, known: known, out: out, origin: time.Now(), count: counters.Set{},
+		addresses: map[string]netip.AddrPort{}, booted: make(chan struct{}), stopped: make(chan struct{})}
+	n.pool = pool{node: n, client: poolconfig.NewClient(cfg.Discovery, known.Revision)}
+	n.delays = newDelays(cfg.Settings.Policy)
+	return n
+}
+
+// Run serves until the node has drained or its listener fails.
+func (n *Node) Run() error {
+	failed := make(chan error, 1)
+	go func() {
+		failed <- gnet.Run(n, "tcp://"+n.cfg.Listen, gnet.WithNumEventLoop(1), gnet.WithReuseAddr(true),
+			gnet.WithTicker(true), gnet.WithLogLevel(logging.ErrorLevel))
+	}()
+	select {
+	case <-n.stopped:
+		return nil
+	case err := <-failed:
+		if err == nil {
+			err = errors.New("the event loop ended")
+		}
+		return err
+	}
+}
+
+// OnBoot keeps the engine.
+func (n *Node) OnBoot(e gnet.Engine) gnet.Action {
+	n.engine = e
+	return gnet.None
+}
+
+// OnTick runs beside the loop, first when the loop has started. A loop is known to its connections alone, so
+// one is opened for no other purpose than to start the node there.
+func (n *Node) OnTick() (time.Duration, gnet.Action) {
+	if err := n.ring(); err != nil {
+		log.Printf("start: %v", err)
+		return time.Second, gnet.None
+	}
+	return 24 * time.Hour, gnet.None
+}
+
+type bell struct{ socket }
+
+func (n *Node) ring() error {
+	pair, err := syscall.Socketpair(syscall.AF_UNIX, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
+	if err != nil {
+		return fmt.Errorf("socket pair: %w", err)
+	}
+	defer syscall.Close(pair[1])
+	file := os.NewFile(uintptr(pair[0]), "bell")
+	defer file.Close()
+	c, err := stdnet.FileConn(file)
+	if err != nil {
+		return fmt.Errorf("socket pair: %w", err)
+	}
+	_, err = n.engine.Register(gnet.NewNetConnContext(gnet.NewContext(context.Background(), bell{}), c))
+	return err
+}
+
+// now is Unix time advanced by the monotonic clock: with that origin a desk host that started shortly before
+// this process is known to be cold.
+func (n *Node) now() time.Duration {
+	return time.Duration(n.origin.UnixNano()) + time.Since(n.origin)
+}
+
+// post has the loop run an event; it may be called from any goroutine.
+func (n *Node) post(event func(now time.Duration)) {
+	_ = n.loop.Execute(context.Background(), gnet.RunnableFunc(func(context.Context) error {
+		n.do(event)
+		return nil
+	}))
+}
+
+// do runs an event on the loop, then what has fallen due. Danger: a failed write closes its connection at
+// once, in the middle of another event; what is reported then waits its turn.
+func (n *Node) do(event func(now time.Duration)) {
+	n.events = append(n.events, event)
+	if n.busy {
+		return
+	}
+	n.busy = true
+	for {
+		for len(n.events) > 0 {
+			next := n.events[0]
+			n.events = n.events[1:]
+			next(n.now())
+		}
+		now := n.now()
+		if at, ok := n.deadlines.Next(); !ok || at > now {
+			break
+		}
+		n.deadlines.Run(now)
+	}
+	n.busy = false
+	n.rearm()
+}
+
+// rearm has the loop woken at the earliest deadline.
+func (n *Node) rearm() {
+	at, ok := n.deadlines.Next()
+	if !ok || at == n.timerAt {
+		return
+	}
+	n.timerAt = at
+	wait := max(at-n.now(), 0)
+	if n.timer == nil {
+		n.timer = time.AfterFunc(wait, func() { n.post(func(time.Duration) { n.timerAt = 0 }) })
+		return
+	}
+	n.timer.Reset(wait)
+}
+
+// boot starts the module, once the loop runs.
+func (n *Node) boot(loop gnet.EventLoop) {
+	n.loop = loop
+	close(n.booted)
+	n.do(func(now time.Duration) {
+		n.table = operation.New(n.cfg.Settings.Policy, n.cfg.Seed, carrier{n}, &n.deadlines, n.count)
+		n.learn(n.known)
+		n.table.Members(now, policy.Cached, n.known.Servers())
+		n.delays.start(n, now)
+		log.Printf("%s: ready on %s with %d desk hosts known", n.cfg.Name, n.cfg.Listen, len(n.known.Members))
+	})
+}
+
+func (n *Node) learn(list *poolconfig.List) {
+	for _, m := range list.Members {
+		if m.State != policy.Gone {
+			n.addresses[m.ID] = m.Address
+		}
+	}
+}
+
+// OnOpen fires on the loop for accepted, dialled and enrolled connections.
+func (n *Node) OnOpen(c gnet.Conn) ([]byte, gnet.Action) {
+	if n.loop == nil {
+		n.boot(c.EventLoop())
+	}
+	if _, ok := c.Context().(bell); ok {
+		return nil, gnet.Close
+	}
+	s, ok := c.Context().(socket)
+	if !ok {
+		s = newFront(n)
+		c.SetContext(s)
+	}
+	action := gnet.None
+	n.do(func(now time.Duration) { action = s.opened(now, c) })
+	return nil, action
+}
+
+// OnTraffic fires on the loop when bytes have come.
+func (n *Node) OnTraffic(c gnet.Conn) gnet.Action {
+	if s, ok := c.Context().(socket); ok {
+		n.do(s.traffic)
+	}
+	return gnet.None
+}
+
+// OnClose fires on the loop when a connection has ended, by our own doing too.
+func (n *Node) OnClose(c gnet.Conn, err error) gnet.Action {
+	s, ok := c.Context().(socket)
+	if _, isBell := c.Context().(bell); !ok || isBell {
+		return gnet.None
+	}
+	s.detach()
+	reset := err != nil && !errors.Is(err, io.EOF)
+	n.do(func(now time.Duration) { s.closed(now, reset) })
+	return gnet.None
+}
+
+// end closes a connection, by a reset where the other side ended so.
+func (n *Node) end(c gnet.Conn, reset bool) {
+	if c == nil {
+		return
+	}
+	if reset {
+		_ = c.SetLinger(0)
+	}
+	_ = n.loop.Close(c)
+}
+
+// mostBuffered bounds what waits for a peer that does not read.
+const mostBuffered = 256 << 10
+
+// write sends bytes on a connection; one that fails or whose peer does not read is ended.
+func (n *Node) write(c gnet.Conn, data []byte) {
+	if c == nil {
+		return
+	}
+	if _, err := c.Write(data); err != nil {
+		return // closed by gnet, and told to OnClose
+	}
+	if c.OutboundBuffered() > mostBuffered {
+		n.count.Add("sockets ended: peer does not read")
+		n.end(c, true)
+	}
+}
+
+// Report prints the counters; it may be called from any goroutine.
+func (n *Node) Report() {
+	<-n.booted
+	done := make(chan struct{})
+	n.post(func(time.Duration) {
+		n.report()
+		close(done)
+	})
+	<-done
+}
+
+func (n *Node) report() { _, _ = n.count.WriteTo(n.out) }
+
+// settled is how long no OPEN must have come before a draining node stops; clients keep coming for up to
+// 0.4 s after the signal.
+const settled, drainCheck = 600 * time.Millisecond, 20 * time.Millisecond
+
+// Drain ends the node in good order; it may be called from any goroutine.
+func (n *Node) Drain() {
+	<-n.booted
+	n.post(func(now time.Duration) {
+		if n.stopping {
+			return
+		}
+		n.stopping, n.lastOpen = true, max(n.lastOpen, now)
+		log.Printf("%s: draining, %d operations", n.cfg.Name, n.table.Len())
+		n.drained(now, now+n.cfg.Settings.Deadline+settled)
+	})
+}
+
+// drained stops the node once all taken is answered and clients have ceased to come, at the latest at a time.
+// Where connections do not pass through, those that stand are moved, also those that have come up since.
+func (n *Node) drained(now, latest time.Duration) {
+	if !n.cfg.Settings.PassThrough {
+		for _, d := range n.desks.All() {
+			if d.up {
+				d.move(now)
+			}
+		}
+	}
+	if n.table.Owed() == 0 && now-n.lastOpen >= settled || now >= latest {
+		n.report()
+		close(n.stopped)
+		return
+	}
+	n.deadlines.Set(now+drainCheck, func(now time.Duration) { n.drained(now, latest) })
+}
--- /dev/null
+++ b/internal/net/pool.go
@@ -0,0 +1,150 @@
+package net
+
+import (
+	"context"
+	"errors"
+	"log"
+	"time"
+
+	"github.com/panjf2000/gnet/v2"
+
+	"tealtiller/internal/deadline"
+	"tealtiller/internal/poolconfig"
+	"tealtiller/policy"
+)
+
+// pool keeps the watch on the pool config: one connection to discovery, one call at a time on it.
+type pool struct {
+	node   *Node
+	client *poolconfig.Client
+	call   *call // the connection that is in use; one that failed is left to itself
+	on     bool
+}
+
+// call is one connection to discovery.
+type call struct {
+	pool    *pool
+	conn    gnet.Conn
+	cancel  context.CancelFunc
+	waiting bool // for an answer
+	limit   *deadline.Deadline
+}
+
+// watchWait is how long discovery may hold an answer back, callLimit when we take a call for lost: what
+// discovery tells counts as told 2 s after the wait, arrived or not.
+const watchWait, callLimit, dialLimit = 8 * time.Second, 9500 * time.Millisecond, time.Second
+
+func (p *pool) watch(on bool) {
+	if p.on == on {
+		return
+	}
+	if p.on = on; on {
+		p.dial()
+	} else if p.call != nil {
+		p.drop()
+	}
+}
+
+func (p *pool) dial() {
+	ctx, cancel := context.WithTimeout(context.Background(), dialLimit)
+	p.call = &call{pool: p, cancel: cancel}
+	go p.node.dial(ctx, p.call, p.node.cfg.Discovery)
+}
+
+// ask makes the next call on the connection, at once: a watch lasts only as long as calls follow closely.
+func (p *pool) ask(now time.Duration) {
+	c := p.call
+	c.waiting = true
+	c.limit = p.node.deadlines.Set(now+callLimit, func(now time.Duration) {
+		if p.call == c {
+			p.failed(now, errors.New("pool config: no answer in time"))
+		}
+	})
+	p.node.count.Add("discovery calls")
+	p.node.write(c.conn, p.client.Watch(watchWait))
+}
+
+// drop leaves the connection in use.
+func (p *pool) drop() {
+	c := p.call
+	p.call = nil
+	c.cancel()
+	p.node.deadlines.Stop(c.limit)
+	p.node.end(c.conn, false)
+}
+
+// failed tells the module, once, that the watch has broken; it asks again when it sees fit.
+func (p *pool) failed(now time.Duration, err error) {
+	p.drop()
+	p.on = false
+	p.node.count.Add("discovery calls failed")
+	log.Printf("%s: %v", p.node.cfg.Name, err)
+	p.node.table.Members(now, policy.Failed, nil)
+}
+
+func (c *call) opened(now time.Duration, conn gnet.Conn) gnet.Action {
+	c.cancel()
+	c.conn = conn
+	if c.pool.call != c {
+		return gnet.Close
+	}
+	c.pool.ask(now)
+	return gnet.None
+}
+
+func (c *call) traffic(now time.Duration) {
+	if c.conn == nil || c.pool.call != c {
+		return
+	}
+	data, _ := c.conn.Peek(-1)
+	if len(data) == 0 {
+		return
+	}
+	c.pool.take(now, data, false)
+	if c.conn != nil {
+		_, _ = c.conn.Discard(-1)
+	}
+}
+
+func (c *call) detach() { c.conn = nil }
+
+func (c *call) closed(now time.Duration, _ bool) {
+	c.cancel()
+	switch p := c.pool; {
+	case p.call != c:
+	case c.waiting:
+		p.take(now, nil, true)
+	default:
+		p.failed(now, errors.New("pool config: discovery is out of reach"))
+	}
+}
+
+// take takes a part of an answer, or the end of the connection.
+func (p *pool) take(now time.Duration, data []byte, ended bool) {
+	list, keep, err := p.client.Feed(data, ended)
+	switch {
+	case err != nil:
+		p.failed(now, err)
+		return
+	case list == nil && ended:
+		p.failed(now, errors.New("pool config: the answer broke off"))
+		return
+	case list == nil:
+		return
+	}
+	p.node.count.Add("discovery answers")
+	p.node.deadlines.Stop(p.call.limit)
+	p.call.waiting = false
+	kind := policy.Delta
+	if list.Complete {
+		kind = policy.Full
+	}
+	p.node.learn(list)
+	if keep {
+		p.ask(now)
+	} else {
+		p.drop()
+		p.dial()
+	}
+	p.node.table.Members(now, kind, list.Servers())
+}
--- /dev/null
+++ b/internal/operation/operation.go
@@ -0,0 +1,291 @@
+// Package operation holds the operations, a client's requests for a connection, and their route steps, one
+// attempt each. It carries the module's actions to whatever stands before and behind it, and tells the
+// module what came of them. It knows no sockets and no protocol.
+package operation
+
+import (
+	"strconv"
+	"time"
+
+	"tealtiller/internal/counters"
+	"tealtiller/internal/deadline"
+	"tealtiller/internal/slot"
+	"tealtiller/policy"
+)
+
+// Carrier is the protocol's side. Owner is the number under which it gave an operation in. None of its
+// methods may call the table: what comes of them is told later.
+type Carrier interface {
+	// Begin starts a route step at a desk host, which is given up at a time. An error means that nothing
+	// was begun.
+	Begin(owner slot.ID, server string, until time.Duration) error
+	// Abandon ends the route step that is out; sent tells whether it may have run.
+	Abandon(owner slot.ID) (sent bool)
+	// Busy and Failed are final answers.
+	Busy(owner slot.ID, retryAfter time.Duration)
+	Failed(owner slot.ID)
+	// Move sends the client of a standing connection away and ends both sides.
+	Move(owner slot.ID)
+	Watch(on bool)
+	Log(text string)
+}
+
+// Table holds all operations of a balancer.
+type Table struct {
+	carrier   Carrier
+	module    *policy.Balancer
+	deadlines *deadline.Queue
+	count     counters.Set
+	ops       slot.Table[*operation]
+	queue     []func(now time.Duration)
+	now       time.Duration
+}
+
+type operation struct {
+	id       slot.ID
+	name     string // as the module knows it
+	owner    slot.ID
+	out      bool // a route step is out
+	stands   bool
+	answered bool // nothing more is owed: answered, or the client left
+	handed   bool // it stood before this balancer started
+	until    *deadline.Deadline
+}
+
+// New makes an empty table with a module that starts from nothing.
+func New(set policy.Settings, seed uint64, carrier Carrier, q *deadline.Queue, count counters.Set) *Table {
+	t := &Table{carrier: carrier, deadlines: q, count: count}
+	t.module = policy.New(set, seed, host{t})
+	return t
+}
+
+// Len is how many operations there are, standing connections included.
+func (t *Table) Len() int { return t.ops.Len() }
+
+// Owed is how many operations still wait for their final answer.
+func (t *Table) Owed() (n int) {
+	for _, op := range t.ops.All() {
+		if !op.stands && !op.answered {
+			n++
+		}
+	}
+	return n
+}
+
+func (t *Table) add(owner slot.ID) *operation {
+	op := &operation{owner: owner}
+	op.id = t.ops.Add(op)
+	op.name = strconv.FormatUint(uint64(op.id), 16)
+	return op
+}
+
+func (t *Table) find(name string) *operation {
+	id, err := strconv.ParseUint(name, 16, 64)
+	if err != nil {
+		return nil
+	}
+	op, _ := t.ops.Get(slot.ID(id))
+	return op
+}
+
+// Take takes a client's request; what the module does with it is carried out before this returns.
+func (t *Table) Take(now time.Duration, owner slot.ID, q policy.Request) slot.ID {
+	op := t.add(owner)
+	q.ID, t.now = op.name, now
+	t.module.Request(now, q)
+	t.settle()
+	return op.id
+}
+
+// Hand takes a connection that stands at a desk host already; its first route step goes there.
+func (t *Table) Hand(now time.Duration, owner slot.ID, q policy.Request, server string) slot.ID {
+	op := t.add(owner)
+	q.ID, t.now, op.handed = op.name, now, true
+	t.module.Open(now, q, server)
+	t.begin(op, server, q.TTL)
+	t.settle()
+	return op.id
+}
+
+// Up tells that the route step has brought up the connection.
+func (t *Table) Up(now time.Duration, id slot.ID) {
+	op, ok := t.ops.Get(id)
+	if !ok || !op.out || op.stands {
+		return
+	}
+	t.now = now
+	t.deadlines.Stop(op.until)
+	op.stands, op.answered = true, true
+	t.module.First(now, op.name)
+	t.settle()
+}
+
+// Ended tells how the route step that was out has ended, or the connection that it brought up.
+func (t *Table) Ended(now time.Duration, id slot.ID, result policy.Result) {
+	if op, ok := t.ops.Get(id); ok && op.out {
+		t.now = now
+		t.ended(op, result)
+		t.settle()
+	}
+}
+
+// Left tells that the client has gone. A connection that stood has ended with it.
+func (t *Table) Left(now time.Duration, id slot.ID) {
+	op, ok := t.ops.Get(id)
+	if !ok {
+		return
+	}
+	t.now = now
+	if !op.answered {
+		op.answered = true
+		t.module.Gone(now, op.name)
+	}
+	if op.out {
+		if !op.stands {
+			t.carrier.Abandon(op.owner)
+		}
+		t.ended(op, policy.Cancelled)
+	} else {
+		t.remove(op)
+	}
+	t.settle()
+}
+
+// Note tells of a standing connection.
+func (t *Table) Note(now time.Duration, id slot.ID, kind policy.NoteKind, level float64) {
+	if op, ok := t.ops.Get(id); ok {
+		t.now = now
+		t.module.Note(now, op.name, kind, level)
+		t.settle()
+	}
+}
+
+// Members tells what is new of the pool config.
+func (t *Table) Members(now time.Duration, kind policy.MembersKind, entries []policy.Server) {
+	t.now = now
+	t.module.Members(now, kind, entries)
+	t.settle()
+}
+
+// settle tells the module the outcomes that its own actions had. Danger: telling them inside the action
+// would enter the module while it is at work.
+func (t *Table) settle() {
+	for len(t.queue) > 0 {
+		next := t.queue[0]
+		t.queue = t.queue[1:]
+		next(t.now)
+	}
+}
+
+func (t *Table) begin(op *operation, server string, timeout time.Duration) {
+	until := t.now + timeout
+	op.out = true
+	t.count.Add("route steps sent")
+	op.until = t.deadlines.Set(until, func(now time.Duration) { t.overdue(now, op) })
+	if err := t.carrier.Begin(op.owner, server, until); err != nil {
+		t.queue = append(t.queue, func(time.Duration) { t.ended(op, policy.ConnectFailed) })
+	}
+}
+
+// overdue gives up a route step that has not brought up the connection in its time.
+func (t *Table) overdue(now time.Duration, op *operation) {
+	if !op.out || op.stands {
+		return
+	}
+	t.now = now
+	result := policy.ConnectFailed // not sent yet: it cannot have run
+	if t.carrier.Abandon(op.owner) {
+		result = policy.Timeout
+	}
+	t.ended(op, result)
+	t.settle()
+}
+
+var results = map[policy.Result]string{policy.OK: "ok", policy.Error: "error", policy.TurnedAway: "busy",
+	policy.Timeout: "timeout", policy.ConnectFailed: "connect failed", policy.Reset: "reset",
+	policy.Cancelled: "cancelled", policy.Moot: "moot"}
+
+// ended tells the module the one outcome of a route step.
+func (t *Table) ended(op *operation, result policy.Result) {
+	if !op.out {
+		return
+	}
+	t.deadlines.Stop(op.until)
+	op.out = false
+	if op.stands {
+		t.count.Add("connections ended: " + results[result])
+	} else {
+		t.count.Add("route steps ended: " + results[result])
+	}
+	over := op.answered || result == policy.OK
+	if !over && op.handed { // no other desk host can go on with it
+		over = true
+		t.carrier.Failed(op.owner)
+	}
+	if over {
+		t.remove(op)
+	}
+	t.module.Outcome(t.now, op.name, result, over)
+}
+
+func (t *Table) remove(op *operation) {
+	t.deadlines.Stop(op.until)
+	t.ops.Remove(op.id)
+}
+
+// host carries out the module's actions. Its methods do not call the module.
+type host struct{ *Table }
+
+func (h host) Send(request, server string, timeout time.Duration) {
+	op := h.find(request)
+	if op == nil || op.out || op.answered {
+		// Danger: two attempts in flight. The module is owed an outcome all the same.
+		h.queue = append(h.queue, func(now time.Duration) {
+			h.module.Outcome(now, request, policy.Moot, op == nil || op.answered)
+		})
+		return
+	}
+	h.begin(op, server, timeout)
+}
+
+func (h host) Refuse(request string, retryAfter time.Duration) {
+	h.answer(request, func(op *operation) { h.carrier.Busy(op.owner, retryAfter) })
+}
+
+func (h host) Fail(request string) {
+	h.answer(request, func(op *operation) { h.carrier.Failed(op.owner) })
+}
+
+func (h host) answer(request string, say func(*operation)) {
+	if op := h.find(request); op != nil && !op.answered {
+		op.answered = true
+		say(op)
+		if !op.out {
+			h.remove(op)
+		}
+	}
+}
+
+func (h host) Move(request string) {
+	op := h.find(request)
+	if op == nil || !op.stands || !op.out {
+		return
+	}
+	h.carrier.Move(op.owner)
+	h.queue = append(h.queue, func(time.Duration) { h.ended(op, policy.Cancelled) })
+}
+
+// Tell has nobody to tell: these balancers have no way to talk to each other.
+func (h host) Tell(uint32, time.Duration) {}
+
+func (h host) Wake(at time.Duration, name int64) {
+	h.deadlines.Set(at, func(now time.Duration) {
+		h.now = now
+		h.module.Wake(now, name)
+		h.settle()
+	})
+}
+
+func (h host) Watch(on bool) { h.carrier.Watch(on) }
+
+func (h host) Log(text string) { h.carrier.Log(text) }
--- a/internal/wire/decode.go
+++ b/internal/wire/decode.go
@@ -4,13 +4,13 @@
 
 import (
 	"encoding/binary"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"time"
 
 	"github.com/mailru/easyjson/jlexer"
 
+	"tealtiller/internal/settings"
 	"tealtiller/policy"
 )
 
@@ -93,7 +93,7 @@
 	d.event = Event{Entries: d.event.Entries[:0]}
 	d.grouped = false
 	count := 0
-	object(l, func(name string) {
+	settings.Object(l, func(name string) {
 		count++
 		kind := kinds[name]
 		d.event.Kind = kind
@@ -101,7 +101,7 @@
 			l.SkipRecursive()
 			return
 		}
-		object(l, func(field string) { d.field(l, field) })
+		settings.Object(l, func(field string) { d.field(l, field) })
 	})
 	l.Consumed()
 	if err := l.Error(); err != nil {
@@ -113,34 +113,8 @@
 	return &d.event, nil
 }
 
-// object calls visit for each field of the object that comes next.
-func object(l *jlexer.Lexer, visit func(field string)) {
-	l.Delim('{')
-	for !l.IsDelim('}') && l.Ok() {
-		field := l.UnsafeFieldName(false)
-		l.WantColon()
-		visit(field)
-		l.WantComma()
-	}
-	l.Delim('}')
-}
-
-// array calls visit for each element of the array that comes next.
-func array(l *jlexer.Lexer, visit func()) {
-	l.Delim('[')
-	for !l.IsDelim(']') && l.Ok() {
-		visit()
-		l.WantComma()
-	}
-	l.Delim(']')
-}
-
 func (d *Decoder) field(l *jlexer.Lexer, field string) {
 	e := &d.event
-	if l.IsNull() {
-		l.Skip()
-		return
-	}
 	switch field {
 	case "balancer":
 		e.Instance = l.Int()
@@ -186,15 +160,15 @@
 	case "slot":
 		e.Slot = l.Int()
 	case "entries":
-		array(l, func() { e.Entries = append(e.Entries, d.entry(l)) })
+		settings.Array(l, func() { e.Entries = append(e.Entries, d.entry(l)) })
 	case "prng":
 		e.Seed = l.Uint64()
 	case "bootInfo":
-		set, err := decodeSettings(l.Raw())
+		set, err := settings.Decode(l.Raw())
 		if err != nil {
 			l.AddError(err)
 		}
-		e.Settings = set
+		e.Settings = set.Policy
 	default:
 		l.SkipRecursive()
 	}
@@ -223,11 +197,7 @@
 
 func (d *Decoder) entry(l *jlexer.Lexer) policy.Server {
 	var s policy.Server
-	object(l, func(field string) {
-		if l.IsNull() {
-			l.Skip()
-			return
-		}
+	settings.Object(l, func(field string) {
 		switch field {
 		case "server":
 			s.ID = d.name(l)
@@ -249,110 +219,3 @@
 	})
 	return s
 }
-
-// settings mirrors the parts of the wire's settings object that the module acts on.
-type settings struct {
-	Tick     time.Duration `json:"tick"`
-	Siblings int           `json:"siblings"`
-	Allowed  struct {
-		TryLimit int  `json:"tryLimit"`
-		Peers    bool `json:"peers"`
-	} `json:"allowed"`
-	Discovery  string `json:"discovery"`
-	Locality   string `json:"locality"`
-	FamilyInfo struct {
-		MessageAim []time.Duration `json:"messageAim"`
-	} `json:"familyInfo"`
-	Grades []struct {
-		Name         string        `json:"name"`
-		Aim          time.Duration `json:"aim"`
-		Effect       string        `json:"effect"`
-		DedupScope   string        `json:"dedupScope"`
-		RepeatWindow time.Duration `json:"repeatWindow"`
-	} `json:"grades"`
-	Invariants struct {
-		AskWithin         time.Duration `json:"askWithin"`
-		ColdFrom          float64       `json:"coldFrom"`
-		WarmAfter         time.Duration `json:"warmAfter"`
-		StopSendingWithin time.Duration `json:"stopSendingWithin"`
-		OverloadFactor    float64       `json:"overloadFactor"`
-		Fall              time.Duration `json:"fall"`
-		SpareAttempts     *float64      `json:"spareAttempts"`
-		ResendRatio       *float64      `json:"resendRatio"`
-		RatioSpan         time.Duration `json:"ratioSpan"`
-		OnlyDrainingBinds bool          `json:"onlyDrainingBinds"`
-	} `json:"invariants"`
-}
-
-var effects = map[string]policy.Effect{"safe": policy.Safe, "keyed": policy.Keyed, "unsafe": policy.Unsafe}
-var scopes = map[string]policy.Scope{
-	"all": policy.ScopeAll, "zone": policy.ScopeZone, "cell": policy.ScopeCell,
-}
-
-func decodeSettings(raw []byte) (policy.Settings, error) {
-	var in settings
-	if err := json.Unmarshal(raw, &in); err != nil {
-		return policy.Settings{}, fmt.Errorf("settings: %w", err)
-	}
-	out := policy.Settings{
-		Classes:        make(map[string]policy.Class, len(in.Grades)),
-		MaxAttempts:    max(in.Allowed.TryLimit, 1),
-		Siblings:       in.Siblings,
-		Peers:          in.Allowed.Peers,
-		Tick:           max(in.Tick, time.Millisecond),
-		MustAsk:        in.Discovery == "subscribe",
-		AskWithin:      in.Invariants.AskWithin,
-		DrainGrace:     in.Invariants.StopSendingWithin,
-		ColdFrom:       in.Invariants.ColdFrom,
-		WarmAfter:      in.Invariants.WarmAfter,
-		OverloadFactor: in.Invariants.OverloadFactor,
-		Fall:           in.Invariants.Fall,
-
-		OnlyDrainingBinds: in.Invariants.OnlyDrainingBinds,
-		Zone:              in.Locality,
-	}
-	if err := in.budget(&out); err != nil {
-		return policy.Settings{}, err
-	}
-	for i, g := range in.Grades {
-		effect, ok := effects[g.Effect]
-		if !ok {
-			effect = policy.Unsafe // the strictest, for a word not known
-		}
-		scope, ok := scopes[g.DedupScope]
-		if !ok {
-			scope = policy.ScopeCell
-		}
-		class := policy.Class{Aim: g.Aim, Effect: effect, Scope: scope, Window: g.RepeatWindow}
-		if i < len(in.FamilyInfo.MessageAim) {
-			class.MessageAim = in.FamilyInfo.MessageAim[i]
-		}
-		out.Classes[g.Name] = class
-	}
-	return out, nil
-}
-
-// budget hands on the budget of attempts. Half of one is malformed: it would be kept by nobody.
-func (in *settings) budget(out *policy.Settings) error {
-	spare, ratio, span := in.Invariants.SpareAttempts, in.Invariants.ResendRatio, in.Invariants.RatioSpan
-	given := spare != nil || ratio != nil
-	switch {
-	case span < 0:
-		return fmt.Errorf("settings: ratioSpan of %v", span)
-	case given && span == 0:
-		return errors.New("settings: a budget of attempts without its ratioSpan")
-	case !given && span > 0:
-		return errors.New("settings: a ratioSpan without spareAttempts or resendRatio")
-	}
-	out.BudgetSpan = span
-	if spare != nil {
-		out.SpareAttempts = *spare
-	}
-	if ratio != nil {
-		out.AttemptShare = *ratio
-	}
-	if out.SpareAttempts < 0 || out.AttemptShare < 0 {
-		return fmt.Errorf("settings: a budget of %v spare attempts and a ratio of %v", out.SpareAttempts, out.AttemptShare)
-	}
-	return nil
-}
