Tell the module how long messages take, from the desk hosts' own reports

Checked: echoes take 0.16 ms at most, crowded or not; set-ups grow only after the collapse; STATS shows x0 over 1 two seconds before it. So note kind 2 is fed by the work that x0 over 1 piles up, besides the measured echo.

--- a/internal/line/line.go
+++ b/internal/line/line.go
@@ -46,10 +46,11 @@
 	Move
 	Err
 	Load
+	Pong
 )
 
 var kinds = map[string]Kind{"OPEN": Open, "PING": Ping, "STATS": Stats, "UP": Up, "BUSY": Busy, "BYE": Bye,
-	"MOVE": Move, "ERR": Err, "LOAD": Load}
+	"MOVE": Move, "ERR": Err, "LOAD": Load, "PONG": Pong}
 
 // Parse tells the kind of a line and what follows its first word.
 func Parse(line []byte) (Kind, []byte) {
@@ -57,6 +58,16 @@
 	return kinds[string(word)], rest
 }
 
+// Field reads one figure of a load report such as inflight=7,util=0.61.
+func Field(report []byte, name string) (figure float64, ok bool) {
+	for _, field := range bytes.Split(report, []byte(",")) {
+		if n, value, _ := bytes.Cut(field, []byte("=")); string(n) == name {
+			return LoadOf(value)
+		}
+	}
+	return 0, false
+}
+
 // LoadOf reads the figure of a LOAD line.
 func LoadOf(rest []byte) (level float64, ok bool) {
 	level, err := strconv.ParseFloat(string(rest), 64)
--- a/internal/net/delay.go
+++ b/internal/net/delay.go
@@ -9,21 +9,32 @@
 	"tealtiller/policy"
 )
 
-// delays measures how long a message takes at each desk host, from a client's line to the desk host's next,
-// and tells the module once a second of those where it takes over a third of the shortest aim, and once more
-// when it is back under.
+// delays keeps how long a message takes at each desk host, and tells the module once a second of those where
+// that is over a third of the shortest aim, and once more when it is back under. It is what was measured from
+// a client's line to the desk host's next, or what the desk host's own reports let expect, if that is more:
+// a crowded desk host may echo at once and still have work piled up.
 type delays struct {
 	third time.Duration
 	lags  map[string]*lag
 }
 
+// lag is what is known of one desk host, while connections of ours stand there.
 type lag struct {
-	samples []time.Duration // of this second
-	desk    slot.ID         // that was measured last
-	slow    bool            // as last told
+	probe    *probe
+	samples  []time.Duration // from a line to the next, of this second
+	standing slot.ID         // a connection there
+	seen     bool            // at this look
+	fresh    bool            // set-ups have come up there since the last probe
+	probedAt time.Duration
+	report   report
+	told     bool // slow, as last told
 }
 
-const noteEvery = time.Second
+// look is how often desk hosts are looked at; noteEvery, how often the module is told.
+const look, noteEvery = 250 * time.Millisecond, time.Second
+
+// A desk host refreshes its report about once a second. One with room is asked less often: probes cost it work.
+const probeEvery, probeIdle, crowded = time.Second, 3 * time.Second, 0.7
 
 func newDelays(set policy.Settings) delays {
 	d := delays{lags: map[string]*lag{}}
@@ -36,47 +47,86 @@
 }
 
 func (s *delays) start(n *Node, now time.Duration) {
-	if s.third == 0 {
-		return
+	if s.third > 0 {
+		s.next(n, now, 1)
 	}
-	n.deadlines.Set(now+noteEvery, func(now time.Duration) {
-		s.tell(n, now)
-		s.start(n, now)
+}
+
+// next plans the next look; the module is told at each fourth.
+func (s *delays) next(n *Node, now time.Duration, turn int) {
+	n.deadlines.Set(now+look, func(now time.Duration) {
+		s.look(n, now)
+		if turn%int(noteEvery/look) == 0 {
+			s.tell(n, now)
+		}
+		s.next(n, now, turn+1)
 	})
 }
 
-func (s *delays) measured(d *desk, took time.Duration) {
-	l := s.lags[d.server]
+func (s *delays) of(server string) *lag {
+	l := s.lags[server]
 	if l == nil {
 		l = &lag{}
-		s.lags[d.server] = l
+		s.lags[server] = l
 	}
+	return l
+}
+
+// measured takes how long a desk host's answer to a line took.
+func (s *delays) measured(server string, took time.Duration) {
+	l := s.of(server)
 	l.samples = append(l.samples, took)
-	l.desk = d.id
+}
+
+// look probes the desk hosts at which connections of ours stand, where that is due, and forgets the others.
+func (s *delays) look(n *Node, now time.Duration) {
+	for _, l := range s.lags {
+		l.seen = false
+	}
+	for id, d := range n.desks.All() {
+		if d.up {
+			l := s.of(d.server)
+			l.seen, l.standing = true, id
+		}
+	}
+	for _, server := range slices.Sorted(maps.Keys(s.lags)) {
+		l := s.lags[server]
+		if !l.seen {
+			l.probe.close()
+			delete(s.lags, server)
+			continue
+		}
+		every := probeIdle
+		if l.fresh || l.report.x0 >= crowded {
+			every = probeEvery
+		}
+		if n.cfg.Settings.Probes && now-l.probedAt >= every {
+			l.fresh, l.probedAt = false, now
+			n.ask(server, l, now)
+		}
+	}
 }
 
 // tell tells the module of the second that has passed. What still waits for an answer counts by its age.
 func (s *delays) tell(n *Node, now time.Duration) {
 	for _, d := range n.desks.All() {
-		if d.askedAt > 0 && now-d.askedAt > s.third {
-			s.measured(d, now-d.askedAt)
+		if d.up && d.askedAt > 0 && now-d.askedAt > s.third {
+			s.measured(d.server, now-d.askedAt)
 		}
 	}
-	for _, server := range sortedKeys(s.lags) {
+	for _, server := range slices.Sorted(maps.Keys(s.lags)) {
 		l := s.lags[server]
-		if len(l.samples) == 0 {
-			continue
+		took := l.report.expected(now)
+		if len(l.samples) > 0 {
+			slices.Sort(l.samples)
+			took = max(took, l.samples[len(l.samples)/2])
+			l.samples = l.samples[:0]
 		}
-		slices.Sort(l.samples)
-		took := l.samples[len(l.samples)/2]
-		l.samples = l.samples[:0]
 		slow := took > s.third
-		if d, ok := n.desks.Get(l.desk); ok && (slow || l.slow) {
+		if d, ok := n.desks.Get(l.standing); ok && (slow || l.told) {
 			n.count.Add("delays told")
 			n.table.Note(now, d.front.op, policy.NoteDelay, float64(took)/float64(time.Millisecond))
 		}
-		l.slow = slow
+		l.told = slow
 	}
 }
-
-func sortedKeys(lags map[string]*lag) []string { return slices.Sorted(maps.Keys(lags)) }
--- a/internal/net/desk.go
+++ b/internal/net/desk.go
@@ -110,6 +110,7 @@
 	switch kind {
 	case line.Up:
 		d.up = true
+		d.node.delays.of(d.server).fresh = true
 		d.node.count.Add("operations served")
 		d.node.write(d.front.conn, text)
 		d.node.table.Up(now, d.front.op)
@@ -177,7 +178,7 @@
 func (d *desk) heard(now time.Duration) {
 	if d.askedAt > 0 {
 		d.node.deadlines.Stop(d.silent)
-		d.node.delays.measured(d, now-d.askedAt)
+		d.node.delays.measured(d.server, now-d.askedAt)
 		d.askedAt = 0
 	}
 }
--- /dev/null
+++ b/internal/net/probe.go
@@ -0,0 +1,120 @@
+package net
+
+import (
+	"context"
+	"time"
+
+	"github.com/panjf2000/gnet/v2"
+
+	"tealtiller/internal/deadline"
+	"tealtiller/internal/line"
+)
+
+// report is what a desk host's load reports tell.
+type report struct {
+	x0      float64       // load asked of it over what it can do
+	at      time.Duration // when that came; 0 before the first
+	backlog time.Duration // work that must have piled up
+}
+
+// staleAfter is for how long a report is believed.
+const staleAfter = 2 * probeIdle
+
+// learn takes a report. What was asked beyond what it can do since the last one has piled up; what it could
+// have done beyond what was asked has been worked off.
+func (r *report) learn(now time.Duration, x0 float64) {
+	if r.at > 0 {
+		mean := (x0 + r.x0) / 2
+		r.backlog = max(r.backlog+time.Duration((mean-1)*float64(min(now-r.at, staleAfter))), 0)
+	}
+	r.x0, r.at = x0, now
+}
+
+// expected is how long a message takes there, by the reports.
+func (r *report) expected(now time.Duration) time.Duration {
+	if r.at == 0 || now-r.at > staleAfter {
+		return 0
+	}
+	return r.backlog
+}
+
+// probe is a connection to a desk host on which it is asked for its load report, one question at a time.
+type probe struct {
+	node   *Node
+	lag    *lag
+	conn   gnet.Conn
+	cancel context.CancelFunc
+	over   bool
+	limit  *deadline.Deadline
+}
+
+const probeTimeout = 200 * time.Millisecond
+
+// ask asks a desk host for its report, on the connection that is there or on a new one.
+func (n *Node) ask(server string, l *lag, now time.Duration) {
+	address, ok := n.addresses[server]
+	if !ok || l.probe != nil && l.probe.limit != nil {
+		return
+	}
+	n.count.Add("probes sent")
+	if l.probe != nil {
+		l.probe.send(now)
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+	l.probe = &probe{node: n, lag: l, cancel: cancel}
+	go n.dial(ctx, l.probe, address.String())
+}
+
+func (p *probe) send(now time.Duration) {
+	p.limit = p.node.deadlines.Set(now+probeTimeout, func(time.Duration) { p.close() })
+	p.node.write(p.conn, []byte("STATS\r\n"))
+}
+
+func (p *probe) opened(now time.Duration, c gnet.Conn) gnet.Action {
+	p.cancel()
+	if p.conn = c; p.over {
+		return gnet.Close
+	}
+	p.send(now)
+	return gnet.None
+}
+
+func (p *probe) traffic(now time.Duration) {
+	for p.conn != nil {
+		buf, _ := p.conn.Peek(-1)
+		text, err := line.Cut(buf)
+		if err != nil {
+			p.close()
+			return
+		}
+		if len(text) == 0 {
+			return
+		}
+		p.node.deadlines.Stop(p.limit)
+		p.limit = nil
+		if kind, rest := line.Parse(text); kind == line.Pong {
+			if x0, ok := line.Field(rest, "x0"); ok {
+				p.lag.report.learn(now, x0)
+			}
+		}
+		_, _ = p.conn.Discard(len(text))
+	}
+}
+
+// close ends the probe; the next one makes a new connection. A nil one has ended.
+func (p *probe) close() {
+	if p == nil || p.over {
+		return
+	}
+	p.over = true
+	p.cancel()
+	p.node.deadlines.Stop(p.limit)
+	if p.lag.probe == p {
+		p.lag.probe = nil
+	}
+	p.node.end(p.conn, false)
+}
+
+func (p *probe) detach()                    { p.conn = nil }
+func (p *probe) closed(time.Duration, bool) { p.close() }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -17,6 +17,7 @@
 	Policy         policy.Settings
 	ConnectTimeout time.Duration // a connection that is not up by then failed
 	Groups         bool          // a connection's group is its key
+	Probes         bool          // desk hosts may be asked for load reports
 	PassThrough    bool          // packets pass through: connections outlive this process
 	Deadline       time.Duration // the longest of any class
 }
@@ -136,6 +137,8 @@
 		d.out.Policy.MaxAttempts = d.l.Int()
 	case "peers":
 		d.out.Policy.Peers = d.l.Bool()
+	case "probing":
+		d.out.Probes = d.l.Bool()
 	case "connectTimeout":
 		d.out.ConnectTimeout = d.time()
 	default:
