Tell delays as they come, near a desk host's capacity too

Seen: reports come half a second to a second late, and waiting for the next full second and the next probe cost another two before the module heard of the load.

--- a/internal/net/delay.go
+++ b/internal/net/delay.go
@@ -21,20 +21,22 @@
 // lag is what is known of one desk host, while connections of ours stand there.
 type lag struct {
 	probe    *probe
-	samples  []time.Duration // from a line to the next, of this second
-	standing slot.ID         // a connection there
-	seen     bool            // at this look
-	fresh    bool            // set-ups have come up there since the last probe
+	echo     time.Duration // the shortest from a line to the next, since the module was told
+	waiting  time.Duration // for how long a line has been without an answer
+	standing slot.ID       // a connection there
+	seen     bool          // at this look
+	fresh    bool          // set-ups have come up there since the last probe
 	probedAt time.Duration
 	report   report
 	told     bool // slow, as last told
+	toldAt   time.Duration
 }
 
-// look is how often desk hosts are looked at; noteEvery, how often the module is told.
+// look is how often desk hosts are looked at; noteEvery, how often the module is told at most.
 const look, noteEvery = 250 * time.Millisecond, time.Second
 
 // A desk host refreshes its report about once a second. One with room is asked less often: probes cost it work.
-const probeEvery, probeIdle, crowded = time.Second, 3 * time.Second, 0.7
+const probeEvery, probeIdle, crowded = 500 * time.Millisecond, 3 * time.Second, 0.7
 
 func newDelays(set policy.Settings) delays {
 	d := delays{lags: map[string]*lag{}}
@@ -48,18 +50,14 @@
 
 func (s *delays) start(n *Node, now time.Duration) {
 	if s.third > 0 {
-		s.next(n, now, 1)
+		s.next(n, now)
 	}
 }
 
-// next plans the next look; the module is told at each fourth.
-func (s *delays) next(n *Node, now time.Duration, turn int) {
+func (s *delays) next(n *Node, now time.Duration) {
 	n.deadlines.Set(now+look, func(now time.Duration) {
 		s.look(n, now)
-		if turn%int(noteEvery/look) == 0 {
-			s.tell(n, now)
-		}
-		s.next(n, now, turn+1)
+		s.next(n, now)
 	})
 }
 
@@ -74,19 +72,23 @@
 
 // measured takes how long a desk host's answer to a line took.
 func (s *delays) measured(server string, took time.Duration) {
-	l := s.of(server)
-	l.samples = append(l.samples, took)
+	if l := s.of(server); l.echo == 0 || took < l.echo {
+		l.echo = took
+	}
 }
 
 // look probes the desk hosts at which connections of ours stand, where that is due, and forgets the others.
 func (s *delays) look(n *Node, now time.Duration) {
 	for _, l := range s.lags {
-		l.seen = false
+		l.seen, l.waiting = false, 0
 	}
 	for id, d := range n.desks.All() {
 		if d.up {
 			l := s.of(d.server)
 			l.seen, l.standing = true, id
+			if d.askedAt > 0 {
+				l.waiting = max(l.waiting, now-d.askedAt)
+			}
 		}
 	}
 	for _, server := range slices.Sorted(maps.Keys(s.lags)) {
@@ -104,29 +106,22 @@
 			l.fresh, l.probedAt = false, now
 			n.ask(server, l, now)
 		}
+		s.tell(n, now, l)
 	}
 }
 
-// tell tells the module of the second that has passed. What still waits for an answer counts by its age.
-func (s *delays) tell(n *Node, now time.Duration) {
-	for _, d := range n.desks.All() {
-		if d.up && d.askedAt > 0 && now-d.askedAt > s.third {
-			s.measured(d.server, now-d.askedAt)
-		}
+// tell tells the module of a desk host, if that is due. What still waits for an answer counts by its age.
+func (s *delays) tell(n *Node, now time.Duration, l *lag) {
+	if now-l.toldAt < noteEvery {
+		return
 	}
-	for _, server := range slices.Sorted(maps.Keys(s.lags)) {
-		l := s.lags[server]
-		took := l.report.expected(now)
-		if len(l.samples) > 0 {
-			slices.Sort(l.samples)
-			took = max(took, l.samples[len(l.samples)/2])
-			l.samples = l.samples[:0]
-		}
-		slow := took > s.third
-		if d, ok := n.desks.Get(l.standing); ok && (slow || l.told) {
-			n.count.Add("delays told")
-			n.table.Note(now, d.front.op, policy.NoteDelay, float64(took)/float64(time.Millisecond))
-		}
-		l.told = slow
+	took := max(l.report.expected(now), l.echo, l.waiting)
+	l.echo = 0
+	slow := took > s.third
+	if d, ok := n.desks.Get(l.standing); ok && (slow || l.told) {
+		n.count.Add("delays told")
+		l.toldAt = now
+		n.table.Note(now, d.front.op, policy.NoteDelay, float64(took)/float64(time.Millisecond))
 	}
+	l.told = slow
 }
--- a/internal/net/probe.go
+++ b/internal/net/probe.go
@@ -20,12 +20,19 @@
 // staleAfter is for how long a report is believed.
 const staleAfter = 2 * probeIdle
 
+// reportAge is how old a report is when it comes: desk hosts refresh it about once a second.
+const reportAge = 500 * time.Millisecond
+
 // learn takes a report. What was asked beyond what it can do since the last one has piled up; what it could
-// have done beyond what was asked has been worked off.
+// have done beyond what was asked has been worked off. Where the load has just gone over, it did so before
+// the report was made.
 func (r *report) learn(now time.Duration, x0 float64) {
 	if r.at > 0 {
-		mean := (x0 + r.x0) / 2
-		r.backlog = max(r.backlog+time.Duration((mean-1)*float64(min(now-r.at, staleAfter))), 0)
+		span := min(now-r.at, staleAfter)
+		if r.x0 < 1 && x0 > 1 {
+			span = reportAge
+		}
+		r.backlog = max(r.backlog+time.Duration((x0-1)*float64(span)), 0)
 	}
 	r.x0, r.at = x0, now
 }
@@ -35,9 +42,13 @@
 	if r.at == 0 || now-r.at > staleAfter {
 		return 0
 	}
-	return r.backlog
+	return r.backlog + time.Duration(float64(idleMessage)/(1-min(r.x0, nearFull)))
 }
 
+// Messages slow down as a desk host nears its capacity, before any work piles up: as in a queue, by one over
+// what is left of it. Near the full that tells nothing more, and stays under the shortest aim here.
+const idleMessage, nearFull = 4 * time.Millisecond, 0.9
+
 // probe is a connection to a desk host on which it is asked for its load report, one question at a time.
 type probe struct {
 	node   *Node
