Drive the node by scenarios against scripted peers, and pass on a client's FIN

The race detector found gnet's round robin shared between the acceptor and the one registration at the start: the least connections balancer has no such state. A client that ends its sending only is now passed on as that: gnet closes such a connection, so a duplicate of its descriptor carries what the desk host still says. A handed-over connection may come without d.

--- a/internal/line/line.go
+++ b/internal/line/line.go
@@ -89,7 +89,7 @@
 	from, to int    // where the figure of d stands in it
 }
 
-const longestWait = 24 * time.Hour
+const longestWait, longestHandOver = 24 * time.Hour, 40 * time.Second
 
 // ParseOpening reads an OPEN line. It keeps a copy of its bytes.
 func ParseOpening(line []byte) (Opening, error) {
@@ -119,8 +119,13 @@
 		}
 		at += len(field) + 1
 	}
-	if o.Class == "" || o.to == 0 {
-		return o, errors.New("OPEN lacks c or d")
+	switch {
+	case o.Class == "":
+		return o, errors.New("OPEN lacks c")
+	case o.to == 0 && o.At == "":
+		return o, errors.New("OPEN lacks d")
+	case o.to == 0: // it stood before the run: nobody told how long to wait
+		o.Wait, o.from, o.to = longestHandOver, len(line), len(line)
 	}
 	return o, nil
 }
@@ -159,6 +164,9 @@
 // Forward is the line as it came, but for how long the sender will wait: at least a millisecond.
 func (o *Opening) Forward(wait time.Duration) []byte {
 	out := append([]byte(nil), o.text[:o.from]...)
+	if o.from == o.to {
+		return out
+	}
 	out = strconv.AppendInt(out, max(wait.Milliseconds(), 1), 10)
 	return append(out, o.text[o.to:]...)
 }
--- /dev/null
+++ b/internal/line/line_test.go
@@ -0,0 +1,107 @@
+package line
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+const open = "OPEN 9b1f03aa5c7e2d41 7f3a9c21e0b4d655 c=chat,t=acme,d=2000,g=5c0f6e1a2b3d4c59,mid=1,again=1,r=1,new=x\r\n"
+
+func TestOpeningGoesOnAsItCameButForItsWait(t *testing.T) {
+	o, err := ParseOpening([]byte(open))
+	require.NoError(t, err)
+	assert.Equal(t, "chat", o.Class)
+	assert.Equal(t, uint64(0x7f3a9c21e0b4d655), o.Key)
+	assert.Equal(t, uint64(0x5c0f6e1a2b3d4c59), o.Group)
+	assert.True(t, o.HasGroup && o.MidFlow && o.Returned)
+	assert.Equal(t, 2*time.Second, o.Wait)
+	assert.Equal(t, strings.Replace(open, "d=2000", "d=150", 1), string(o.Forward(150*time.Millisecond)))
+	assert.Equal(t, strings.Replace(open, "d=2000", "d=1", 1), string(o.Forward(-time.Second)))
+}
+
+func TestHandedOverNeedsNoWait(t *testing.T) {
+	o, err := ParseOpening([]byte("OPEN 1 a c=chat,at=s-1\n"))
+	require.NoError(t, err)
+	assert.Equal(t, "s-1", o.At)
+	assert.Equal(t, 40*time.Second, o.Wait)
+	assert.Equal(t, "OPEN 1 a c=chat,at=s-1\n", string(o.Forward(time.Second)))
+}
+
+func TestMalformedOpenings(t *testing.T) {
+	for _, text := range []string{"OPEN", "OPEN 1 a", "OPEN  a c=x,d=1", "OPEN 1 z c=x,d=1", "OPEN 1 a c=x", "OPEN 1 a d=1",
+		"OPEN 1 a c=x,d=-1", "OPEN 1 a c=x,d=1,d=2", "OPEN 1 a c=x,d=1,g=q", "OPEN 1 a c=x,d=1,", "OPEN 1 a c=x,d=1 more",
+		"OPEN 1 a c=x,d=99999999999", "OPEN 1 a c=\x00,d=1", "OPEN 1 a c=x,d=4294967295"} {
+		_, err := ParseOpening([]byte(text + "\r\n"))
+		assert.Error(t, err, text)
+	}
+}
+
+func TestCut(t *testing.T) {
+	text, err := Cut([]byte("a\r\nb"))
+	assert.NoError(t, err)
+	assert.Equal(t, "a\r\n", string(text))
+	text, err = Cut([]byte("b"))
+	assert.NoError(t, err)
+	assert.Empty(t, text)
+	longest := append(bytes.Repeat([]byte("x"), Most-1), '\n')
+	text, err = Cut(longest)
+	assert.NoError(t, err)
+	assert.Len(t, text, Most)
+	_, err = Cut(append([]byte("x"), longest...))
+	assert.ErrorIs(t, err, ErrTooLong)
+	_, err = Cut(bytes.Repeat([]byte("x"), Most))
+	assert.ErrorIs(t, err, ErrTooLong)
+}
+
+func TestFigures(t *testing.T) {
+	x0, ok := Field([]byte("eps=0,util=0.61,x0=1.25"), "x0")
+	assert.True(t, ok)
+	assert.Equal(t, 1.25, x0)
+	for _, text := range []string{"", "x0", "x0=", "x0=NaN", "x0=-1", "x0=1e99", "xx0=1"} {
+		_, ok := Field([]byte(text), "x0")
+		assert.False(t, ok, text)
+	}
+	kind, rest := Parse([]byte("LOAD 7.5\r\n"))
+	assert.Equal(t, Load, kind)
+	assert.Equal(t, "7.5", string(rest))
+	kind, _ = Parse([]byte("LOADED\r\n"))
+	assert.Equal(t, Other, kind)
+}
+
+// What is taken for an opening goes on as one line that differs from it in one figure alone.
+func FuzzOpening(f *testing.F) {
+	f.Add([]byte(open))
+	f.Add([]byte("OPEN 1 a d=1,c=x\n"))
+	f.Add([]byte("OPEN 1 a c=x,at=s"))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		o, err := ParseOpening(text)
+		if err != nil {
+			return
+		}
+		out := o.Forward(o.Wait)
+		again, err := ParseOpening(out)
+		require.NoError(t, err)
+		assert.Equal(t, o.Key, again.Key)
+		assert.Equal(t, o.Class, again.Class)
+		if i := bytes.IndexByte(out, '\n'); i >= 0 {
+			assert.Equal(t, len(out)-1, i)
+		}
+	})
+}
+
+func FuzzCut(f *testing.F) {
+	f.Add([]byte("UP r\r\nLOAD 3\r\n"))
+	f.Fuzz(func(t *testing.T, buf []byte) {
+		text, err := Cut(buf)
+		if err == nil && len(text) > 0 {
+			assert.True(t, bytes.HasPrefix(buf, text) && len(text) <= Most && bytes.IndexByte(text, '\n') == len(text)-1)
+			_, rest := Parse(text)
+			Field(rest, "x0")
+		}
+	})
+}
--- a/internal/net/desk.go
+++ b/internal/net/desk.go
@@ -152,7 +152,7 @@
 			return
 		}
 	}
-	n.write(f.conn, buf[:end])
+	f.pass(now, buf[:end])
 	if d.conn != nil {
 		_, _ = d.conn.Discard(end)
 	}
@@ -166,7 +166,7 @@
 func (d *desk) asked(now time.Duration) {
 	if d.askedAt == 0 {
 		d.askedAt = now
-		d.silent = d.node.deadlines.Set(now+silence, func(now time.Duration) {
+		d.silent = d.node.deadlines.Set(now+d.node.silence, func(now time.Duration) {
 			d.node.count.Add("connections moved: silent desk host")
 			d.front.move(now)
 			d.close(now, false, policy.Reset)
@@ -203,6 +203,7 @@
 	d.node.desks.Remove(d.id)
 	if d.front.desk == d {
 		d.front.desk = nil
+		d.front.half.close(reset)
 	}
 	d.node.end(d.conn, reset)
 }
@@ -215,7 +216,7 @@
 	}
 }
 
-func (d *desk) detach() { d.conn = nil }
+func (d *desk) detach(bool) { d.conn = nil }
 
 // closed takes the end of the connection, or that it never came up.
 func (d *desk) closed(now time.Duration, reset bool) {
@@ -227,6 +228,7 @@
 		result = policy.ConnectFailed
 	}
 	if d.up { // the client's side ends in the same way
+		d.front.half.close(reset)
 		d.node.count.Add("standing connections ended by desk hosts")
 		if reset {
 			d.front.ending = true
--- a/internal/net/front.go
+++ b/internal/net/front.go
@@ -23,6 +23,7 @@
 	desk    *desk
 	ending  bool // we have said our last; what still comes is thrown away
 	linger  bool
+	half    *half // the client has ended its sending only
 }
 
 func newFront(n *Node) *front {
@@ -196,14 +197,37 @@
 	}
 }
 
-func (f *front) detach() { f.conn = nil }
+// pass hands lines of the desk host to the client.
+func (f *front) pass(now time.Duration, lines []byte) {
+	if f.half == nil {
+		f.node.write(f.conn, lines)
+	} else if !f.half.write(lines) {
+		f.desk.close(now, true, policy.Cancelled)
+	}
+}
+
+func (f *front) detach(reset bool) {
+	if !reset && !f.ending && f.desk != nil && f.desk.up {
+		f.half = newHalf(f.conn)
+	}
+	f.conn = nil
+}
 
 func (f *front) closed(now time.Duration, reset bool) {
 	defer f.node.fronts.Remove(f.id) // last: its route step is found by its number
 	if !f.taken || f.ending {
+		f.half.close(reset)
 		return
 	}
 	f.ending = true
+	if d := f.desk; f.half != nil && d != nil && d.conn != nil && d.conn.OutboundBuffered() == 0 &&
+		syscall.Shutdown(d.conn.Fd(), syscall.SHUT_WR) == nil {
+		f.node.count.Add("clients that ended their sending")
+		f.node.deadlines.Stop(d.silent)
+		f.node.deadlines.Set(now+lingering, func(now time.Duration) { d.close(now, false, policy.Cancelled) })
+		return
+	}
+	f.half.close(reset)
 	if d := f.desk; d != nil && d.up {
 		f.node.count.Add("clients gone from standing connections")
 		d.close(now, reset, policy.Cancelled)
--- a/internal/net/node.go
+++ b/internal/net/node.go
@@ -16,7 +16,6 @@
 	"time"
 
 	"github.com/panjf2000/gnet/v2"
-	"github.com/panjf2000/gnet/v2/pkg/logging"
 
 	"tealtiller/internal/counters"
 	"tealtiller/internal/deadline"
@@ -53,20 +52,21 @@
 	stopping bool
 	lastOpen time.Duration // when the last OPEN came
 	stopped  chan struct{}
+	silence  time.Duration // how long a client's line may stay unanswered
 }
 
 // socket is what stands behind a gnet connection.
 type socket interface {
 	opened(now time.Duration, c gnet.Conn) gnet.Action
 	traffic(now time.Duration)
-	detach() // the connection must not be touched any more
+	detach(reset bool) // the connection must not be touched after this
 	closed(now time.Duration, reset bool)
 }
 
 // NewNode makes a balancer that writes its counters to out.
 func NewNode(cfg settings.Config, known *poolconfig.List, out io.Writer) *Node {
 	n := &Node{cfg: cfg, known: known, out: out, origin: time.Now(), count: counters.Set{},
-		addresses: map[string]netip.AddrPort{}, booted: make(chan struct{}), stopped: make(chan struct{})}
+		addresses: map[string]netip.AddrPort{}, booted: make(chan struct{}), stopped: make(chan struct{}), silence: silence}
 	n.pool = pool{node: n, client: poolconfig.NewClient(cfg.Discovery, known.Revision)}
 	n.delays = newDelays(cfg.Settings.Policy)
 	return n
@@ -77,7 +77,7 @@
 	failed := make(chan error, 1)
 	go func() {
 		failed <- gnet.Run(n, "tcp://"+n.cfg.Listen, gnet.WithNumEventLoop(1), gnet.WithReuseAddr(true),
-			gnet.WithTicker(true), gnet.WithLogLevel(logging.ErrorLevel))
+			gnet.WithTicker(true), gnet.WithLoadBalancing(gnet.LeastConnections)) // round robin races with ring
 	}()
 	select {
 	case <-n.stopped:
@@ -230,8 +230,8 @@
 	if _, isBell := c.Context().(bell); !ok || isBell {
 		return gnet.None
 	}
-	s.detach()
 	reset := err != nil && !errors.Is(err, io.EOF)
+	s.detach(reset)
 	n.do(func(now time.Duration) { s.closed(now, reset) })
 	return gnet.None
 }
--- a/internal/net/pool.go
+++ b/internal/net/pool.go
@@ -106,7 +106,7 @@
 	}
 }
 
-func (c *call) detach() { c.conn = nil }
+func (c *call) detach(bool) { c.conn = nil }
 
 func (c *call) closed(now time.Duration, _ bool) {
 	c.cancel()
--- a/internal/net/probe.go
+++ b/internal/net/probe.go
@@ -127,5 +127,5 @@
 	p.node.end(p.conn, false)
 }
 
-func (p *probe) detach()                    { p.conn = nil }
+func (p *probe) detach(bool)                { p.conn = nil }
 func (p *probe) closed(time.Duration, bool) { p.close() }
--- /dev/null
+++ b/internal/net/scenario_test.go
@@ -0,0 +1,259 @@
+package net
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	stdnet "net"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strconv"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"tealtiller/internal/poolconfig"
+	"tealtiller/internal/settings"
+)
+
+// A scenario is a file of lines that drive a real node against scripted peers, one step a line:
+//
+//	set KEY=VALUE           settings before the node starts: hosts, dead, mode, probing, discovery, sockets, silence
+//	NAME connect            a client connects to the node
+//	NAME accept             takes the next connection that reached a desk host or, for pool, discovery
+//	NAME send TEXT          sends a line; \r\n in it splits it, ... at its end leaves it open
+//	NAME expect PATTERN     reads a line; * stands for anything
+//	NAME wait fin|reset     waits until the other side has ended the connection, reading what is left
+//	NAME close|half|reset   ends the connection, its sending, or by a reset
+//	NAME answer BODY        sends an HTTP answer
+//	stop                    tells the node to drain
+//	wait exit               waits until the node has ended
+//	wait count NAME N       waits until a counter of the node is N, or with N+ at least N
+//
+// Every read has a limit, so a step that never comes fails; no step sleeps.
+const limit = 5 * time.Second
+
+type rig struct {
+	t       *testing.T
+	set     map[string]string
+	node    *Node
+	peers   map[string]*peer
+	desks   chan stdnet.Conn
+	pools   chan stdnet.Conn
+	exited  chan error
+	started bool
+	out     bytes.Buffer
+}
+
+type peer struct {
+	*stdnet.TCPConn
+	r *bufio.Reader
+}
+
+func TestScenarios(t *testing.T) {
+	files, err := filepath.Glob("testdata/*.txt")
+	require.NoError(t, err)
+	require.NotEmpty(t, files)
+	for _, file := range files {
+		t.Run(strings.TrimSuffix(filepath.Base(file), ".txt"), func(t *testing.T) {
+			text, err := os.ReadFile(file)
+			require.NoError(t, err)
+			r := &rig{t: t, set: map[string]string{"hosts": "1", "mode": "pass", "probing": "false", "discovery": "automatic"},
+				peers: map[string]*peer{}, desks: make(chan stdnet.Conn, 64), pools: make(chan stdnet.Conn, 64)}
+			for i, step := range strings.Split(string(text), "\n") {
+				if step = strings.TrimSpace(step); step != "" && step[0] != '#' {
+					require.NoError(t, r.step(step), "%s:%d: %s", file, i+1, step)
+				}
+			}
+		})
+	}
+}
+
+func (r *rig) step(step string) error {
+	who, rest, _ := strings.Cut(step, " ")
+	verb, text, _ := strings.Cut(rest, " ")
+	if who == "set" {
+		key, value, _ := strings.Cut(rest, "=")
+		r.set[key] = value
+		return nil
+	}
+	if !r.started {
+		r.start()
+	}
+	switch {
+	case who == "stop":
+		r.node.Drain()
+		return nil
+	case who == "wait" && verb == "exit":
+		return r.within(func() error { return <-r.exited })
+	case who == "wait":
+		return r.count(text)
+	}
+	return r.peer(who, verb, text)
+}
+
+func (r *rig) peer(who, verb, text string) error {
+	p := r.peers[who]
+	if p == nil {
+		p = &peer{}
+		r.peers[who] = p
+	}
+	text = strings.NewReplacer(`\r`, "\r", `\n`, "\n", "LONG", strings.Repeat("x", 5000)).Replace(text)
+	switch verb {
+	case "connect":
+		c, err := stdnet.Dial("tcp", r.node.cfg.Listen)
+		if err != nil {
+			return err
+		}
+		p.take(c)
+	case "accept":
+		from := r.desks
+		if who == "pool" {
+			from = r.pools
+		}
+		return r.within(func() error { p.take(<-from); return nil })
+	case "send":
+		line, open := strings.CutSuffix(text, "...")
+		if !open {
+			line += "\r\n"
+		}
+		_, err := io.WriteString(p, line)
+		return err
+	case "answer":
+		_, err := fmt.Fprintf(p, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(text), text)
+		return err
+	case "expect":
+		got, err := p.r.ReadString('\n')
+		if err != nil {
+			return err
+		}
+		pattern := "^" + strings.ReplaceAll(regexp.QuoteMeta(text), `\*`, ".*") + "\r\n$"
+		if !regexp.MustCompile(pattern).MatchString(got) {
+			return fmt.Errorf("got %q", got)
+		}
+	case "wait":
+		_, err := io.Copy(io.Discard, p.r)
+		if reset := errors.Is(err, syscall.ECONNRESET); reset != (text == "reset") || err != nil && !reset {
+			return fmt.Errorf("ended with %v", err)
+		}
+	case "close":
+		return p.Close()
+	case "half":
+		return p.CloseWrite()
+	case "reset":
+		_ = p.SetLinger(0)
+		return p.Close()
+	default:
+		return errors.New("no such step")
+	}
+	return nil
+}
+
+func (p *peer) take(c stdnet.Conn) {
+	p.TCPConn, p.r = c.(*stdnet.TCPConn), bufio.NewReader(c)
+	_ = c.SetDeadline(time.Now().Add(limit))
+}
+
+func (r *rig) within(f func() error) error {
+	done := make(chan error, 1)
+	go func() { done <- f() }()
+	select {
+	case err := <-done:
+		return err
+	case <-time.After(limit):
+		return errors.New("it never came")
+	}
+}
+
+// count asks the loop again and again: each question is answered after all events before it.
+func (r *rig) count(text string) error {
+	i := strings.LastIndex(text, " ")
+	name, figure := text[:i], strings.TrimSuffix(text[i+1:], "+")
+	want, err := strconv.ParseInt(figure, 10, 64)
+	if err != nil {
+		return err
+	}
+	return r.within(func() error {
+		for got := int64(-1); got < want || got > want && figure == text[i+1:]; {
+			answer := make(chan int64)
+			r.node.post(func(time.Duration) { answer <- r.node.count[name] })
+			got = <-answer
+		}
+		return nil
+	})
+}
+
+func (r *rig) listen(to chan stdnet.Conn) string {
+	l, err := stdnet.Listen("tcp", "127.0.0.1:0")
+	require.NoError(r.t, err)
+	r.t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			to <- c
+		}
+	}()
+	return l.Addr().String()
+}
+
+// free is an address at which nobody listens.
+func (r *rig) free() string {
+	l, err := stdnet.Listen("tcp", "127.0.0.1:0")
+	require.NoError(r.t, err)
+	defer l.Close()
+	return l.Addr().String()
+}
+
+func (r *rig) start() {
+	r.started = true
+	var hosts, dead int
+	_, _ = fmt.Sscan(r.set["hosts"], &hosts)
+	_, _ = fmt.Sscan(r.set["dead"], &dead)
+	var members []string
+	for i := range hosts + dead {
+		address := r.free()
+		if i < hosts {
+			address = r.listen(r.desks)
+		}
+		members = append(members, fmt.Sprintf(
+			`{"id":"s-%d","host_port":%q,"locality":"a","flavor":"m","cell":1,"phase":"in_service","size":1,"up_since_ms":0}`, i, address))
+	}
+	known := fmt.Sprintf(`{"revision":41,"complete":true,"members":[%s]}`, strings.Join(members, ","))
+	set := fmt.Sprintf(`{"allowed":{"tryLimit":6,"connectTimeout":150000000,"probing":%s},"discovery":%q,"tick":4000000,"siblings":1,
+		"familyInfo":{"groups":true,"mode":%q,"messageAim":[250000000]},
+		"grades":[{"name":"lookup","aim":300000000,"deadline":1200000000,"effect":"safe","dedupScope":"all"}],
+		"invariants":{"askWithin":10000000000,"coldFrom":0.15,"fall":1000000000,"overloadFactor":3,"stopSendingWithin":300000000,"warmAfter":22000000000}}`,
+		r.set["probing"], r.set["discovery"], r.set["mode"])
+	cfg, err := settings.DecodeConfig(fmt.Appendf(nil, `{"name":"n0","listen":%q,"discovery":%q,"seed":"7","limits":{"sockets":%s},"known":%s,"settings":%s}`,
+		r.free(), r.listen(r.pools), "0"+r.set["sockets"], known, set))
+	require.NoError(r.t, err)
+	list, err := poolconfig.Parse(cfg.Known)
+	require.NoError(r.t, err)
+	r.node, r.exited = NewNode(cfg, list, &r.out), make(chan error, 1)
+	if s, ok := r.set["silence"]; ok {
+		r.node.silence, err = time.ParseDuration(s)
+		require.NoError(r.t, err)
+	}
+	go func() { r.exited <- r.node.Run() }()
+	require.NoError(r.t, r.within(func() error { <-r.node.booted; return nil }))
+	r.t.Cleanup(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), limit)
+		defer cancel()
+		_ = r.node.engine.Stop(ctx)
+		for _, p := range r.peers {
+			if p.TCPConn != nil {
+				_ = p.Close()
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/poolconfig/poolconfig_test.go
@@ -0,0 +1,107 @@
+package poolconfig
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"tealtiller/policy"
+)
+
+const list = `{"revision":43,"complete":false,"later":{"a":[1]},"members":[
+  {"id":"s-5be2a07c","host_port":"10.1.0.18:3000","locality":"a","flavor":"m2","cell":3,"phase":"terminating","size":1.5,"up_since_ms":1700000000123}]}`
+
+func TestParse(t *testing.T) {
+	got, err := Parse([]byte(list))
+	require.NoError(t, err)
+	assert.EqualValues(t, 43, got.Revision)
+	assert.False(t, got.Complete)
+	assert.Equal(t, []policy.Server{{ID: "s-5be2a07c", Zone: "a", Kind: "m2", Cell: 3, State: policy.Draining,
+		Weight: 1.5, Started: 1700000000123 * time.Millisecond}}, got.Servers())
+	assert.Equal(t, "10.1.0.18:3000", got.Members[0].Address.String())
+}
+
+func TestBadListsAreRefused(t *testing.T) {
+	for _, text := range []string{``, `[]`, `{}`, `{"revision":1}`, `{"members":[]}`, `{"revision":1,"members":[{"id":"a"}]}`,
+		`{"revision":1,"members":[{"id":"a","phase":"odd","host_port":"1.2.3.4:5"}]}`,
+		`{"revision":1,"members":[{"id":"a","phase":"in_service","host_port":"nowhere"}]}`,
+		`{"revision":1,"members":[{"phase":"in_service","host_port":"1.2.3.4:5"}]}`, list[:90], list + "x"} {
+		_, err := Parse([]byte(text))
+		assert.Error(t, err, text)
+	}
+}
+
+func answer(status, body string) string {
+	return fmt.Sprintf("HTTP/1.1 %s\r\nContent-Length: %d\r\n\r\n%s", status, len(body), body)
+}
+
+// An answer may come byte by byte; the next call asks for what is newer than it told.
+func TestAnswerInParts(t *testing.T) {
+	c := NewClient("1.2.3.4:5", 41)
+	assert.Equal(t, "GET /discovery/hosts?since=41&timeout_ms=8000 HTTP/1.1\r\nHost: 1.2.3.4:5\r\n\r\n", string(c.Watch(8*time.Second)))
+	text := answer("200 OK", list)
+	for i := range len(text) - 1 {
+		got, _, err := c.Feed([]byte{text[i]}, false)
+		require.NoError(t, err)
+		require.Nil(t, got)
+	}
+	got, keep, err := c.Feed([]byte{text[len(text)-1]}, false)
+	require.NoError(t, err)
+	assert.NotNil(t, got)
+	assert.True(t, keep)
+	assert.Contains(t, string(c.Watch(time.Second)), "since=43&timeout_ms=1000 ")
+}
+
+func TestOtherForms(t *testing.T) {
+	chunked := fmt.Sprintf("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(list), list)
+	got, keep, err := NewClient("h", 1).Feed([]byte(chunked), false)
+	require.NoError(t, err)
+	assert.True(t, got != nil && keep)
+	closing := "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n" + list
+	c := NewClient("h", 1)
+	got, _, err = c.Feed([]byte(closing), false)
+	require.NoError(t, err)
+	require.Nil(t, got, "the end of the connection ends it")
+	got, keep, err = c.Feed(nil, true)
+	require.NoError(t, err)
+	assert.True(t, got != nil && !keep)
+}
+
+func TestFailedCalls(t *testing.T) {
+	for name, text := range map[string]string{"503": answer("503 Service Unavailable", "busy"), "no HTTP": "what\r\n\r\n",
+		"bad list": answer("200 OK", `{"revision":9}`)} {
+		c := NewClient("h", 1)
+		got, _, err := c.Feed([]byte(text), false)
+		assert.Error(t, err, name)
+		assert.Nil(t, got, name)
+		assert.Contains(t, string(c.Watch(0)), "since=1&", name)
+	}
+	_, _, err := NewClient("h", 1).Feed([]byte(answer("200 OK", list)[:60]), true)
+	assert.Error(t, err, "broken off")
+	_, _, err = NewClient("h", 1).Feed(make([]byte, mostAnswer+1), false)
+	assert.Error(t, err, "without an end")
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(list))
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		if got, err := Parse(raw); err == nil {
+			for _, s := range got.Servers() {
+				assert.NotEmpty(t, s.ID)
+			}
+		}
+	})
+}
+
+func FuzzFeed(f *testing.F) {
+	f.Add([]byte(answer("200 OK", list)), true)
+	f.Fuzz(func(t *testing.T, raw []byte, ended bool) {
+		c := NewClient("h", 1)
+		if got, _, err := c.Feed(raw, ended); err != nil {
+			assert.Nil(t, got)
+		}
+	})
+}
