Take cores that stay busy as a sign of work piled up unseen

With cores busy (mean of two reports 0.96 or more) the delay is now taken as 100 ms at least, with cores at under 0.9 as none piled up.

--- a/internal/net/probe.go
+++ b/internal/net/probe.go
@@ -13,6 +13,8 @@
 // report is what a desk host's load reports tell.
 type report struct {
 	x0      float64       // load asked of it over what it can do
+	util    float64       // how busy its cores are; the mean with the report before, where that told another
+	busy    float64       // util as last told
 	at      time.Duration // when that came; 0 before the first
 	backlog time.Duration // work that must have piled up
 }
@@ -26,7 +28,10 @@
 // learn takes a report. What was asked beyond what it can do since the last one has piled up; what it could
 // have done beyond what was asked has been worked off. Where the load has just gone over, it did so before
 // the report was made.
-func (r *report) learn(now time.Duration, x0 float64) {
+//
+// Reports are late and miss what piled up between two of them. But cores that stay busy beyond the load asked
+// are working something off, and cores with time to spare have nothing left.
+func (r *report) learn(now time.Duration, x0, util float64) {
 	if r.at > 0 {
 		span := min(now-r.at, staleAfter)
 		if r.x0 < 1 && x0 > 1 {
@@ -34,9 +39,24 @@
 		}
 		r.backlog = max(r.backlog+time.Duration((x0-1)*float64(span)), 0)
 	}
+	if x0 != r.x0 {
+		r.util = util
+		if r.busy > 0 {
+			r.util = (util + r.busy) / 2
+		}
+		r.busy = util
+	}
+	switch {
+	case r.util > 0 && r.util < notBusy:
+		r.backlog = 0
+	case r.util >= fullyBusy:
+		r.backlog = max(r.backlog, unseenBacklog)
+	}
 	r.x0, r.at = x0, now
 }
 
+const notBusy, fullyBusy, unseenBacklog = 0.9, 0.96, 100 * time.Millisecond
+
 // expected is how long a message takes there, by the reports.
 func (r *report) expected(now time.Duration) time.Duration {
 	if r.at == 0 || now-r.at > staleAfter {
@@ -106,7 +126,11 @@
 		p.limit = nil
 		if kind, rest := line.Parse(text); kind == line.Pong {
 			if x0, ok := line.Field(rest, "x0"); ok {
-				p.lag.report.learn(now, x0)
+				util, ok := line.Field(rest, "cpu")
+				if !ok {
+					util, _ = line.Field(rest, "util")
+				}
+				p.lag.report.learn(now, x0, util)
 			}
 		}
 		_, _ = p.conn.Discard(len(text))
