Take a report as a second old when it first tells of a load that is over

Seen: reports are refreshed each 0.4 to 1.3 s, come 0.1 to 0.5 s late and are asked for each 0.5 s, so half a second was too little.

--- a/internal/net/probe.go
+++ b/internal/net/probe.go
@@ -22,8 +22,9 @@
 // staleAfter is for how long a report is believed.
 const staleAfter = 2 * probeIdle
 
-// reportAge is how old a report is when it comes: desk hosts refresh it about once a second.
-const reportAge = 500 * time.Millisecond
+// reportAge is how old what a report tells is when we act on it: it is refreshed each 0.4 to 1.3 s, comes 0.1 to
+// 0.5 s late, and we ask each 0.5 s.
+const reportAge = time.Second
 
 // learn takes a report. What was asked beyond what it can do since the last one has piled up; what it could
 // have done beyond what was asked has been worked off. Where the load has just gone over, it did so before
