--- a/internal/net/delay.go
+++ b/internal/net/delay.go
@@ -110,6 +110,20 @@
 	}
 }
 
+// shed takes that a desk host has dropped a connection that stood. Danger: it does so when too much has piled
+// up, before any report of it comes, and its clients are back within a second; the module must know by then.
+func (s *delays) shed(n *Node, now time.Duration, server string) {
+	l := s.of(server)
+	l.report.shed(now)
+	for id, d := range n.desks.All() {
+		if d.up && d.server == server {
+			l.standing = id
+			s.tell(n, now, l)
+			return
+		}
+	}
+}
+
 // tell tells the module of a desk host, if that is due. What still waits for an answer counts by its age.
 func (s *delays) tell(n *Node, now time.Duration, l *lag) {
 	if now-l.toldAt < noteEvery {
--- a/internal/net/desk.go
+++ b/internal/net/desk.go
@@ -238,4 +238,7 @@
 		}
 	}
 	d.close(now, false, result)
+	if d.up && reset {
+		d.node.delays.shed(d.node, now, d.server)
+	}
 }
--- a/internal/net/probe.go
+++ b/internal/net/probe.go
@@ -56,6 +56,15 @@
 	r.x0, r.at = x0, now
 }
 
+// shed takes that a desk host has dropped what it cannot serve.
+func (r *report) shed(now time.Duration) {
+	r.x0, r.at = max(r.x0, 1), now
+	r.backlog = max(r.backlog, shedBacklog)
+}
+
+// shedBacklog is what has piled up at the least where a desk host drops connections.
+const shedBacklog = 500 * time.Millisecond
+
 const notBusy, fullyBusy, unseenBacklog = 0.9, 0.96, 100 * time.Millisecond
 
 // expected is how long a message takes there, by the reports.
