Grow a reported load by the connections that have come up since the report

The node does know what it has sent there since; siblings send alike, as the front deals evenly, so x0 is taken to have grown by that share.

--- a/internal/net/delay.go
+++ b/internal/net/delay.go
@@ -80,12 +80,15 @@
 // look probes the desk hosts at which connections of ours stand, where that is due, and forgets the others.
 func (s *delays) look(n *Node, now time.Duration) {
 	for _, l := range s.lags {
-		l.seen, l.waiting = false, 0
+		l.seen, l.waiting, l.report.open, l.report.since = false, 0, 0, 0
 	}
 	for id, d := range n.desks.All() {
 		if d.up {
 			l := s.of(d.server)
 			l.seen, l.standing = true, id
+			if l.report.open++; d.upAt > l.report.madeAt {
+				l.report.since++
+			}
 			if d.askedAt > 0 {
 				l.waiting = max(l.waiting, now-d.askedAt)
 			}
--- a/internal/net/desk.go
+++ b/internal/net/desk.go
@@ -25,6 +25,7 @@
 	conn    gnet.Conn
 	sent    bool // the first line is written
 	up      bool
+	upAt    time.Duration
 	over    bool          // its outcome is told
 	last    policy.Result // what its end will mean
 	askedAt time.Duration // when the client's first line that is still unanswered went on
@@ -109,7 +110,7 @@
 	kind, _ := line.Parse(text)
 	switch kind {
 	case line.Up:
-		d.up = true
+		d.up, d.upAt = true, now
 		d.node.delays.of(d.server).fresh = true
 		d.node.count.Add("operations served")
 		d.node.write(d.front.conn, text)
--- a/internal/net/probe.go
+++ b/internal/net/probe.go
@@ -17,6 +17,9 @@
 	busy    float64       // util as last told
 	at      time.Duration // when that came; 0 before the first
 	backlog time.Duration // work that must have piled up
+	madeAt  time.Duration // when the desk host took the report, about
+	open    int           // connections of ours that stand there
+	since   int           // those of them that came up after the report was made
 }
 
 // staleAfter is for how long a report is believed.
@@ -41,6 +44,7 @@
 		r.backlog = max(r.backlog+time.Duration((x0-1)*float64(span)), 0)
 	}
 	if x0 != r.x0 {
+		r.madeAt = now - reportAge/2
 		r.util = util
 		if r.busy > 0 {
 			r.util = (util + r.busy) / 2
@@ -72,7 +76,9 @@
 	if r.at == 0 || now-r.at > staleAfter {
 		return 0
 	}
-	return r.backlog + time.Duration(float64(idleMessage)/(1-min(r.x0, nearFull)))
+	// What has come up since counts as what stood: the other balancers send there as we do.
+	x0 := r.x0 * float64(r.open+1) / float64(r.open-r.since+1)
+	return r.backlog + time.Duration(float64(idleMessage)/(1-min(x0, nearFull)))
 }
 
 // Messages slow down as a desk host nears its capacity, before any work piles up: as in a queue, by one over
