Take in a replaced configuration on SIGHUP and go over to the discovery it names

Now settings.Source reads and checks the file off the loop, Node.reloaded swaps in what has changed, and pool.turn leaves the old watch and asks the new discovery for the whole list. At the start the environment still goes first; a new address in the file goes before it.

--- a/cmd/tealtiller/main.go
+++ b/cmd/tealtiller/main.go
@@ -8,7 +8,6 @@
 	"os"
 	"os/signal"
 	"runtime"
-	"runtime/debug"
 	"syscall"
 
 	"tealtiller/internal/net"
@@ -25,7 +24,10 @@
 }
 
 func run() error {
-	cfg, err := settings.Load(os.Getenv)
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGHUP, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
+	source := settings.NewSource(os.Getenv)
+	cfg, err := source.Load()
 	if err != nil {
 		return err
 	}
@@ -38,17 +40,15 @@
 	// The loop sits in a system call most of the time. With one processor for Go code, what it wakes would
 	// wait until the runtime's monitor takes that processor away from it.
 	runtime.GOMAXPROCS(4)
-	if cfg.MemoryMB > 0 {
-		debug.SetMemoryLimit(cfg.MemoryMB << 20 * 3 / 4)
-	}
 	node := net.NewNode(cfg, known, os.Stderr)
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
 	go func() {
 		for s := range signals {
-			if s == syscall.SIGUSR1 {
+			switch s {
+			case syscall.SIGHUP:
+				node.Reload(source.Load)
+			case syscall.SIGUSR1:
 				node.Report()
-			} else {
+			default:
 				node.Drain()
 			}
 		}
--- a/internal/net/delay.go
+++ b/internal/net/delay.go
@@ -38,25 +38,23 @@
 // A desk host refreshes its report about once a second. One with room is asked less often: probes cost it work.
 const probeEvery, probeIdle, crowded = 500 * time.Millisecond, 3 * time.Second, 0.7
 
-func newDelays(set policy.Settings) delays {
-	d := delays{lags: map[string]*lag{}}
+func newDelays() delays { return delays{lags: map[string]*lag{}} }
+
+// aims takes the settings' message aims; without any, desk hosts are not looked at.
+func (s *delays) aims(set policy.Settings) {
+	s.third = 0
 	for _, c := range set.Classes {
-		if c.MessageAim > 0 && (d.third == 0 || c.MessageAim/3 < d.third) {
-			d.third = c.MessageAim / 3
+		if c.MessageAim > 0 && (s.third == 0 || c.MessageAim/3 < s.third) {
+			s.third = c.MessageAim / 3
 		}
 	}
-	return d
-}
-
-func (s *delays) start(n *Node, now time.Duration) {
-	if s.third > 0 {
-		s.next(n, now)
-	}
 }
 
 func (s *delays) next(n *Node, now time.Duration) {
 	n.deadlines.Set(now+look, func(now time.Duration) {
-		s.look(n, now)
+		if s.third > 0 {
+			s.look(n, now)
+		}
 		s.next(n, now)
 	})
 }
--- a/internal/net/node.go
+++ b/internal/net/node.go
@@ -12,6 +12,7 @@
 	stdnet "net"
 	"net/netip"
 	"os"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -26,7 +27,7 @@
 	"tealtiller/policy"
 )
 
-// Node is one balancer. Its gnet callbacks and all its methods but Run, Drain and Report belong to the loop.
+// Node is one balancer. Its gnet callbacks and all its methods but Run, Reload, Drain and Report belong to the loop.
 type Node struct {
 	gnet.BuiltinEventEngine
 	cfg       settings.Config
@@ -67,11 +68,54 @@
 func NewNode(cfg settings.Config, known *poolconfig.List, out io.Writer) *Node {
 	n := &Node{cfg: cfg, known: known, out: out, origin: time.Now(), count: counters.Set{},
 		addresses: map[string]netip.AddrPort{}, booted: make(chan struct{}), stopped: make(chan struct{}), silence: silence}
-	n.pool = pool{node: n, client: poolconfig.NewClient(cfg.Discovery, known.Revision)}
-	n.delays = newDelays(cfg.Settings.Policy)
+	n.pool = pool{node: n, address: cfg.Discovery, client: poolconfig.NewClient(cfg.Discovery, known.Revision)}
+	n.delays = newDelays()
+	n.adopt(cfg)
 	return n
 }
 
+// adopt takes a configuration as the one in force.
+func (n *Node) adopt(cfg settings.Config) {
+	n.cfg = cfg
+	n.delays.aims(cfg.Settings.Policy)
+	if cfg.MemoryMB > 0 {
+		debug.SetMemoryLimit(cfg.MemoryMB << 20 * 3 / 4)
+	}
+}
+
+// Reload takes in a configuration that has been replaced; it may be called from any goroutine but the loop, on
+// which nothing is read. One that makes no sense changes nothing.
+func (n *Node) Reload(load func() (settings.Config, error)) {
+	<-n.booted
+	cfg, err := load()
+	if err == nil && len(cfg.Known) > 0 {
+		_, err = poolconfig.Parse(cfg.Known) // only checked: what discovery has told since is newer
+	}
+	n.post(func(time.Duration) {
+		if err != nil {
+			n.count.Add("configurations refused")
+			log.Printf("%s: the old configuration stays: %v", n.cfg.Name, err)
+			return
+		}
+		n.reloaded(cfg)
+	})
+}
+
+// reloaded swaps in what has changed. Operations, the list and all that is known of desk hosts stay.
+func (n *Node) reloaded(cfg settings.Config) {
+	n.count.Add("configurations taken in")
+	log.Printf("%s: configuration taken in, discovery at %s", n.cfg.Name, cfg.Discovery)
+	if cfg.Listen != n.cfg.Listen || cfg.Name != n.cfg.Name {
+		log.Printf("%s: another name or listening address needs a restart", n.cfg.Name)
+		cfg.Listen, cfg.Name = n.cfg.Listen, n.cfg.Name
+	}
+	n.adopt(cfg)
+	n.table.Adopt(cfg.Settings.Policy)
+	if cfg.Discovery != n.pool.address {
+		n.pool.turn(cfg.Discovery)
+	}
+}
+
 // Run serves until the node has drained or its listener fails.
 func (n *Node) Run() error {
 	failed := make(chan error, 1)
@@ -185,7 +229,7 @@
 		n.table = operation.New(n.cfg.Settings.Policy, n.cfg.Seed, carrier{n}, &n.deadlines, n.count)
 		n.learn(n.known)
 		n.table.Members(now, policy.Cached, n.known.Servers())
-		n.delays.start(n, now)
+		n.delays.next(n, now)
 		log.Printf("%s: ready on %s with %d desk hosts known", n.cfg.Name, n.cfg.Listen, len(n.known.Members))
 	})
 }
--- a/internal/net/pool.go
+++ b/internal/net/pool.go
@@ -15,10 +15,11 @@
 
 // pool keeps the watch on the pool config: one connection to discovery, one call at a time on it.
 type pool struct {
-	node   *Node
-	client *poolconfig.Client
-	call   *call // the connection that is in use; one that failed is left to itself
-	on     bool
+	node    *Node
+	address string
+	client  *poolconfig.Client
+	call    *call // the connection that is in use; one that failed is left to itself
+	on      bool
 }
 
 // call is one connection to discovery.
@@ -31,8 +32,27 @@
 }
 
 // watchWait is how long discovery may hold an answer back, callLimit when we take a call for lost: what
-// discovery tells counts as told 2 s after the wait, arrived or not.
-const watchWait, callLimit, dialLimit = 8 * time.Second, 9500 * time.Millisecond, time.Second
+// discovery tells counts as told 2 s after the wait, arrived or not. A call for the whole list waits for
+// nothing, and after a move of discovery all counts as told 4 s later: its limit leaves time for a second call.
+const (
+	watchWait  = 8 * time.Second
+	callLimit  = 9500 * time.Millisecond
+	wholeLimit = 2 * time.Second
+	dialLimit  = time.Second
+)
+
+// turn goes over to another discovery, at once and with no failure told: a call that the module has put off
+// after a failure was for the old one. The list stays until the new one tells the whole of its own.
+func (p *pool) turn(address string) {
+	p.address, p.client = address, poolconfig.NewClient(address, poolconfig.None)
+	if p.call != nil {
+		p.drop()
+	}
+	if p.node.cfg.Settings.Policy.MustAsk {
+		p.on = true
+		p.dial()
+	}
+}
 
 func (p *pool) watch(on bool) {
 	if p.on == on {
@@ -48,20 +68,24 @@
 func (p *pool) dial() {
 	ctx, cancel := context.WithTimeout(context.Background(), dialLimit)
 	p.call = &call{pool: p, cancel: cancel}
-	go p.node.dial(ctx, p.call, p.node.cfg.Discovery)
+	go p.node.dial(ctx, p.call, p.address)
 }
 
 // ask makes the next call on the connection, at once: a watch lasts only as long as calls follow closely.
 func (p *pool) ask(now time.Duration) {
 	c := p.call
 	c.waiting = true
-	c.limit = p.node.deadlines.Set(now+callLimit, func(now time.Duration) {
+	limit := callLimit
+	if p.client.Whole() {
+		limit = wholeLimit
+	}
+	c.limit = p.node.deadlines.Set(now+limit, func(now time.Duration) {
 		if p.call == c {
 			p.failed(now, errors.New("pool config: no answer in time"))
 		}
 	})
 	p.node.count.Add("discovery calls")
-	p.node.write(c.conn, p.client.Watch(watchWait))
+	p.node.write(c.conn, p.client.Call(watchWait))
 }
 
 // drop leaves the connection in use.
--- a/internal/net/scenario_test.go
+++ b/internal/net/scenario_test.go
@@ -34,6 +34,8 @@
 //	NAME close|half|reset   ends the connection, its sending, or by a reset
 //	NAME answer BODY        sends an HTTP answer
 //	stop                    tells the node to drain
+//	reload move             replaces the configuration by one that names another discovery, and reloads it
+//	reload TEXT             the same with a file of this text
 //	wait exit               waits until the node has ended
 //	wait count NAME N       waits until a counter of the node is N, or with N+ at least N
 //
@@ -50,6 +52,9 @@
 	exited  chan error
 	started bool
 	out     bytes.Buffer
+	source  *settings.Source
+	path    string
+	known   string
 }
 
 type peer struct {
@@ -91,6 +96,15 @@
 	case who == "stop":
 		r.node.Drain()
 		return nil
+	case who == "reload":
+		if rest == "move" {
+			rest = r.config()
+		}
+		if err := os.WriteFile(r.path, []byte(rest), 0o600); err != nil {
+			return err
+		}
+		r.node.Reload(r.source.Load)
+		return nil
 	case who == "wait" && verb == "exit":
 		return r.within(func() error { return <-r.exited })
 	case who == "wait":
@@ -228,14 +242,14 @@
 		members = append(members, fmt.Sprintf(
 			`{"id":"s-%d","host_port":%q,"locality":"a","flavor":"m","cell":1,"phase":"in_service","size":1,"up_since_ms":0}`, i, address))
 	}
-	known := fmt.Sprintf(`{"revision":41,"complete":true,"members":[%s]}`, strings.Join(members, ","))
-	set := fmt.Sprintf(`{"allowed":{"tryLimit":6,"connectTimeout":1000000000,"probing":%s},"discovery":%q,"tick":4000000,"siblings":1,
-		"familyInfo":{"groups":true,"mode":%q,"messageAim":[250000000]},
-		"grades":[{"name":"lookup","aim":2000000000,"deadline":1200000000,"effect":"safe","dedupScope":"all"}],
-		"invariants":{"askWithin":10000000000,"coldFrom":0.15,"fall":1000000000,"overloadFactor":3,"stopSendingWithin":300000000,"warmAfter":22000000000}}`,
-		r.set["probing"], r.set["discovery"], r.set["mode"])
-	cfg, err := settings.DecodeConfig(fmt.Appendf(nil, `{"name":"n0","listen":%q,"discovery":%q,"seed":"7","limits":{"sockets":%s},"known":%s,"settings":%s}`,
-		r.free(), r.listen(r.pools), "0"+r.set["sockets"], known, set))
+	r.known = fmt.Sprintf(`{"revision":41,"complete":true,"members":[%s]}`, strings.Join(members, ","))
+	listen, first := r.free(), r.listen(r.pools)
+	env := map[string]string{"EDGE_LISTEN": listen, "EDGE_DISCOVERY": first}
+	r.path = filepath.Join(r.t.TempDir(), "config.json")
+	env["EDGE_CONFIG"] = r.path
+	require.NoError(r.t, os.WriteFile(r.path, []byte(r.config()), 0o600))
+	r.source = settings.NewSource(func(name string) string { return env[name] })
+	cfg, err := r.source.Load()
 	require.NoError(r.t, err)
 	list, err := poolconfig.Parse(cfg.Known)
 	require.NoError(r.t, err)
@@ -257,3 +271,14 @@
 		}
 	})
 }
+
+// config is the text of a configuration whose file names a discovery of its own.
+func (r *rig) config() string {
+	set := fmt.Sprintf(`{"allowed":{"tryLimit":6,"connectTimeout":1000000000,"probing":%s},"discovery":%q,"tick":4000000,"siblings":1,
+		"familyInfo":{"groups":true,"mode":%q,"messageAim":[250000000]},
+		"grades":[{"name":"lookup","aim":2000000000,"deadline":1200000000,"effect":"safe","dedupScope":"all"}],
+		"invariants":{"askWithin":10000000000,"coldFrom":0.15,"fall":1000000000,"overloadFactor":3,"stopSendingWithin":300000000,"warmAfter":22000000000}}`,
+		r.set["probing"], r.set["discovery"], r.set["mode"])
+	return fmt.Sprintf(`{"name":"n0","discovery":%q,"seed":"7","limits":{"sockets":%s},"known":%s,"settings":%s}`,
+		r.listen(r.pools), "0"+r.set["sockets"], r.known, set)
+}
--- a/internal/operation/operation.go
+++ b/internal/operation/operation.go
@@ -59,6 +59,9 @@
 	return t
 }
 
+// Adopt has the module go on by other settings.
+func (t *Table) Adopt(set policy.Settings) { t.module.Adopt(set) }
+
 // Len is how many operations there are, standing connections included.
 func (t *Table) Len() int { return t.ops.Len() }
 
--- a/internal/poolconfig/poolconfig.go
+++ b/internal/poolconfig/poolconfig.go
@@ -121,12 +121,22 @@
 	buf      []byte
 }
 
+// None is the revision of one who holds no list of this discovery.
+const None = -1
+
 // NewClient makes a client of the discovery at an address, which holds the list of some revision.
 func NewClient(host string, revision int64) *Client { return &Client{host: host, revision: revision} }
 
-// Watch is the call that waits for what is newer than the revision held.
-func (c *Client) Watch(wait time.Duration) []byte {
+// Whole tells that the next call asks for the whole list and is answered at once. Danger: a revision told by
+// another discovery may mean nothing at this one, and changes since then would hide what else is different.
+func (c *Client) Whole() bool { return c.revision == None }
+
+// Call asks for the whole list, or waits for what is newer than the revision held.
+func (c *Client) Call(wait time.Duration) []byte {
 	c.buf = c.buf[:0]
+	if c.Whole() {
+		return fmt.Appendf(nil, "GET /discovery/hosts HTTP/1.1\r\nHost: %s\r\n\r\n", c.host)
+	}
 	return fmt.Appendf(nil, "GET /discovery/hosts?since=%d&timeout_ms=%d HTTP/1.1\r\nHost: %s\r\n\r\n",
 		c.revision, wait.Milliseconds(), c.host)
 }
@@ -164,6 +174,9 @@
 	if list, err = Parse(body); err != nil {
 		return nil, false, err
 	}
+	if c.Whole() && !list.Complete {
+		return nil, false, errors.New("pool config: a part of the list in place of the whole")
+	}
 	c.revision = list.Revision
 	return list, !resp.Close && !ended, nil
 }
--- a/internal/poolconfig/poolconfig_test.go
+++ b/internal/poolconfig/poolconfig_test.go
@@ -41,7 +41,7 @@
 // An answer may come byte by byte; the next call asks for what is newer than it told.
 func TestAnswerInParts(t *testing.T) {
 	c := NewClient("1.2.3.4:5", 41)
-	assert.Equal(t, "GET /discovery/hosts?since=41&timeout_ms=8000 HTTP/1.1\r\nHost: 1.2.3.4:5\r\n\r\n", string(c.Watch(8*time.Second)))
+	assert.Equal(t, "GET /discovery/hosts?since=41&timeout_ms=8000 HTTP/1.1\r\nHost: 1.2.3.4:5\r\n\r\n", string(c.Call(8*time.Second)))
 	text := answer("200 OK", list)
 	for i := range len(text) - 1 {
 		got, _, err := c.Feed([]byte{text[i]}, false)
@@ -52,7 +52,7 @@
 	require.NoError(t, err)
 	assert.NotNil(t, got)
 	assert.True(t, keep)
-	assert.Contains(t, string(c.Watch(time.Second)), "since=43&timeout_ms=1000 ")
+	assert.Contains(t, string(c.Call(time.Second)), "since=43&timeout_ms=1000 ")
 }
 
 func TestOtherForms(t *testing.T) {
@@ -77,7 +77,7 @@
 		got, _, err := c.Feed([]byte(text), false)
 		assert.Error(t, err, name)
 		assert.Nil(t, got, name)
-		assert.Contains(t, string(c.Watch(0)), "since=1&", name)
+		assert.Contains(t, string(c.Call(0)), "since=1&", name)
 	}
 	_, _, err := NewClient("h", 1).Feed([]byte(answer("200 OK", list)[:60]), true)
 	assert.Error(t, err, "broken off")
@@ -85,6 +85,19 @@
 	assert.Error(t, err, "without an end")
 }
 
+// Of a discovery that has told nothing yet the whole list is asked for, until it comes.
+func TestWholeListFirst(t *testing.T) {
+	c := NewClient("1.2.3.4:5", None)
+	const whole = "GET /discovery/hosts HTTP/1.1\r\nHost: 1.2.3.4:5\r\n\r\n"
+	assert.Equal(t, whole, string(c.Call(time.Second)))
+	_, _, err := c.Feed([]byte(answer("200 OK", list)), false)
+	assert.ErrorContains(t, err, "part of the list")
+	assert.Equal(t, whole, string(c.Call(time.Second)))
+	_, _, err = c.Feed([]byte(answer("200 OK", `{"revision":3,"complete":true,"members":[]}`)), false)
+	require.NoError(t, err)
+	assert.Contains(t, string(c.Call(time.Second)), "since=3&")
+}
+
 func FuzzParse(f *testing.F) {
 	f.Add([]byte(list))
 	f.Fuzz(func(t *testing.T, raw []byte) {
--- a/internal/settings/config.go
+++ b/internal/settings/config.go
@@ -19,8 +19,40 @@
 	Settings                Settings
 }
 
-// Load reads the configuration; the environment, where it speaks, goes before the file.
-func Load(getenv func(string) string) (Config, error) {
+// Source is where the configuration comes from: the environment and the file that it names. The file may be
+// replaced; it is read again by each Load.
+type Source struct {
+	getenv          func(string) string
+	loaded          bool
+	inFile, inForce string // the address of discovery as the file told it last, and as taken
+}
+
+// NewSource makes a source of an environment.
+func NewSource(getenv func(string) string) *Source { return &Source{getenv: getenv} }
+
+// Load reads and checks the whole configuration. The environment, where it speaks, goes before the file; but
+// an address of discovery that the file tells anew goes before all else, or a moved discovery could not be
+// told to a running balancer.
+func (s *Source) Load() (Config, error) {
+	c, err := load(s.getenv)
+	if err != nil {
+		return Config{}, err
+	}
+	inFile := c.Discovery
+	switch told := s.getenv("EDGE_DISCOVERY"); {
+	case s.loaded && inFile == s.inFile:
+		c.Discovery = s.inForce
+	case !s.loaded && told != "":
+		c.Discovery = told
+	}
+	if c.Listen == "" || c.Discovery == "" {
+		return Config{}, errors.New("configuration: no address to listen on, or none of discovery")
+	}
+	s.loaded, s.inFile, s.inForce = true, inFile, c.Discovery
+	return c, nil
+}
+
+func load(getenv func(string) string) (Config, error) {
 	path := getenv("EDGE_CONFIG")
 	if path == "" {
 		return Config{}, errors.New("EDGE_CONFIG names no file")
@@ -33,15 +65,11 @@
 	if err != nil {
 		return Config{}, err
 	}
-	for name, field := range map[string]*string{
-		"EDGE_NAME": &c.Name, "EDGE_LISTEN": &c.Listen, "EDGE_DISCOVERY": &c.Discovery} {
+	for name, field := range map[string]*string{"EDGE_NAME": &c.Name, "EDGE_LISTEN": &c.Listen} {
 		if value := getenv(name); value != "" {
 			*field = value
 		}
 	}
-	if c.Listen == "" || c.Discovery == "" {
-		return Config{}, errors.New("configuration: no address to listen on, or none of discovery")
-	}
 	return c, nil
 }
 
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -50,7 +50,7 @@
 		"seed":"8c1f30d27a5be964","limits":{"cores":1.0,"memory_mb":192,"sockets":1200},
 		"known":{"revision":41,"members":[]},"settings":`+told+`}`), 0o600))
 	env := map[string]string{"EDGE_CONFIG": path, "EDGE_LISTEN": "10.0.0.5:3000"}
-	c, err := Load(func(name string) string { return env[name] })
+	c, err := NewSource(func(name string) string { return env[name] }).Load()
 	require.NoError(t, err)
 	assert.Equal(t, "10.0.0.5:3000", c.Listen, "the environment goes first")
 	assert.Equal(t, "n3", c.Name)
@@ -64,13 +64,34 @@
 		`{"settings":{"tick":"x"}}`: "settings", `{"settings":` + told + `}`: "no address"} {
 		path := filepath.Join(t.TempDir(), "config.json")
 		require.NoError(t, os.WriteFile(path, []byte(text), 0o600))
-		_, err := Load(func(name string) string { return map[string]string{"EDGE_CONFIG": path}[name] })
+		_, err := NewSource(func(name string) string { return map[string]string{"EDGE_CONFIG": path}[name] }).Load()
 		assert.ErrorContains(t, err, want, text)
 	}
-	_, err := Load(func(string) string { return "" })
+	_, err := NewSource(func(string) string { return "" }).Load()
 	assert.ErrorContains(t, err, "EDGE_CONFIG")
 }
 
+// At the start the environment tells where discovery is; what the file tells anew later goes before it. A file
+// that makes no sense changes nothing.
+func TestDiscoveryMoves(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "config.json")
+	env := map[string]string{"EDGE_CONFIG": path, "EDGE_LISTEN": "10.0.0.5:3000", "EDGE_DISCOVERY": "10.2.0.1:1"}
+	s := NewSource(func(name string) string { return env[name] })
+	for _, step := range []struct{ text, want string }{
+		{`{"discovery":"10.2.0.9:9","settings":` + told + `}`, "10.2.0.1:1"},
+		{`{"discovery":"10.2.0.9:9","settings":` + told + `}`, "10.2.0.1:1"},
+		{`{"discovery":"10.2.0.2:2","settings":` + told + `}`, "10.2.0.2:2"},
+		{`{"discovery":"10.2.0.3:3","settings":`, ""},
+		{`{"discovery":"10.2.0.2:2","settings":` + told + `}`, "10.2.0.2:2"},
+		{`{"discovery":"10.2.0.9:9","settings":` + told + `}`, "10.2.0.9:9"},
+	} {
+		require.NoError(t, os.WriteFile(path, []byte(step.text), 0o600))
+		c, err := s.Load()
+		assert.Equal(t, step.want, c.Discovery, step.text)
+		assert.Equal(t, step.want == "", err != nil, step.text)
+	}
+}
+
 func FuzzDecodeConfig(f *testing.F) {
 	f.Add([]byte(`{"name":"n3","seed":"7","settings":` + told + `}`))
 	f.Fuzz(func(t *testing.T, raw []byte) {
--- a/policy/state.go
+++ b/policy/state.go
@@ -93,6 +93,12 @@
 		servers: map[string]*server{}, tallies: map[part]tally{}, keys: map[uint32]int{}, reqs: map[string]*request{}}
 }
 
+// Adopt takes other settings from now on; requests keep the class as it was when they came.
+func (b *Balancer) Adopt(set Settings) {
+	set.derive()
+	b.set = set
+}
+
 // server finds or makes what is known of a server.
 func (b *Balancer) server(id string) *server {
 	s := b.servers[id]
