Close silent clients in time and first when descriptors are short; refuse ids that are open

Probed by logging each accept, PING, id taken and failed route step: - front sockets that said nothing, half a command or one PING stayed 9 to 12 s, until the client went (front.opened set no limit); bursts of 480 in 2 s then filled all and the next client, silent or not, was closed at once (the constant reserve); - every failed route step carried an id that was open at this same balancer, for another client; each was tried at 4 desk hosts, and each of them was struck for it. Nothing kept the ids (front.open, Table.add); - the front's own PING socket is closed by the front at once, so no limit can hurt it. Ruled out: CPU (0.04 s in the busiest second), memory (5 of 64 MB), what else bad clients sent (all refused by the parser).

Now: 2 s for a whole command; the longest silent goes first when descriptors are short; the limit is counted by what is really open, dialled sockets included, and the loop itself accepts; Table knows the ids that are open; a command before UP is an error; fields told twice and odd flags and figures are refused; what waits for a peer is bounded by the configured memory; an enrolment that fails is told.

--- a/internal/line/line.go
+++ b/internal/line/line.go
@@ -6,6 +6,7 @@
 	"bytes"
 	"errors"
 	"fmt"
+	"slices"
 	"strconv"
 	"time"
 )
@@ -52,6 +53,9 @@
 var kinds = map[string]Kind{"OPEN": Open, "PING": Ping, "STATS": Stats, "UP": Up, "BUSY": Busy, "BYE": Bye,
 	"MOVE": Move, "ERR": Err, "LOAD": Load, "PONG": Pong}
 
+// Command tells whether a line of this kind begins something at a balancer.
+func (k Kind) Command() bool { return k == Open || k == Ping || k == Stats }
+
 // Parse tells the kind of a line and what follows its first word.
 func Parse(line []byte) (Kind, []byte) {
 	word, rest, _ := bytes.Cut(bytes.TrimRight(line, "\r\n"), []byte(" "))
@@ -76,6 +80,7 @@
 
 // Opening is a parsed OPEN line.
 type Opening struct {
+	ID       string
 	Class    string
 	Key      uint64
 	Group    uint64
@@ -104,16 +109,24 @@
 	if len(words) != 4 || string(words[0]) != "OPEN" || len(words[1]) == 0 {
 		return o, errNoOpen
 	}
+	if o.ID = string(words[1]); !validID(o.ID) {
+		return o, errors.New("want an id of up to 64 letters, digits and dashes")
+	}
 	var err error
 	if o.Key, err = hex(words[2]); err != nil {
 		return o, fmt.Errorf("key: %w", err)
 	}
+	var seen [][]byte
 	at := len(body) - len(words[3])
 	for _, field := range bytes.Split(words[3], []byte(",")) {
 		name, value, ok := bytes.Cut(field, []byte("="))
 		if !ok || len(value) == 0 {
 			return o, errors.New("want NAME=VALUE in the list of OPEN")
 		}
+		if slices.ContainsFunc(seen, func(s []byte) bool { return bytes.Equal(s, name) }) {
+			return o, fmt.Errorf("%s: told twice", name) // whoever reads on might take the other one
+		}
+		seen = append(seen, name)
 		if err := o.field(string(name), value, at+len(name)+1); err != nil {
 			return o, fmt.Errorf("%s: %w", name, err)
 		}
@@ -136,23 +149,45 @@
 		o.Class = string(value)
 	case "d":
 		ms, err := strconv.ParseUint(string(value), 10, 32)
-		if o.Wait = time.Duration(ms) * time.Millisecond; err != nil || o.to > 0 || o.Wait > longestWait {
+		if o.Wait = time.Duration(ms) * time.Millisecond; err != nil || o.Wait > longestWait {
 			return errors.New("want one figure in milliseconds")
 		}
 		o.from, o.to = at, at+len(value)
 	case "g":
 		o.Group, err = hex(value)
 		o.HasGroup = true
+	case "h":
+		if _, ok := LoadOf(value); !ok {
+			return errors.New("want a figure")
+		}
 	case "mid":
-		o.MidFlow = string(value) == "1"
+		o.MidFlow, err = flag(value)
 	case "again":
-		o.Returned = string(value) == "1"
+		o.Returned, err = flag(value)
+	case "r":
+		_, err = flag(value)
 	case "at":
 		o.At = string(value)
 	}
 	return err
 }
 
+func flag(value []byte) (bool, error) {
+	if len(value) != 1 || value[0] != '0' && value[0] != '1' {
+		return false, errors.New("want 0 or 1")
+	}
+	return value[0] == '1', nil
+}
+
+func validID(id string) bool {
+	for _, c := range []byte(id) {
+		if c != '-' && (c < '0' || c > '9') && (c|0x20 < 'a' || c|0x20 > 'z') {
+			return false
+		}
+	}
+	return len(id) > 0 && len(id) <= 64
+}
+
 func hex(text []byte) (uint64, error) {
 	n, err := strconv.ParseUint(string(text), 16, 64)
 	if err != nil {
--- a/internal/line/line_test.go
+++ b/internal/line/line_test.go
@@ -35,7 +35,10 @@
 func TestMalformedOpenings(t *testing.T) {
 	for _, text := range []string{"OPEN", "OPEN 1 a", "OPEN  a c=x,d=1", "OPEN 1 z c=x,d=1", "OPEN 1 a c=x", "OPEN 1 a d=1",
 		"OPEN 1 a c=x,d=-1", "OPEN 1 a c=x,d=1,d=2", "OPEN 1 a c=x,d=1,g=q", "OPEN 1 a c=x,d=1,", "OPEN 1 a c=x,d=1 more",
-		"OPEN 1 a c=x,d=99999999999", "OPEN 1 a c=\x00,d=1", "OPEN 1 a c=x,d=4294967295"} {
+		"OPEN 1 a c=x,d=99999999999", "OPEN 1 a c=\x00,d=1", "OPEN 1 a c=x,d=4294967295",
+		"OPEN ../x a c=x,d=1", "OPEN " + strings.Repeat("1", 65) + " a c=x,d=1", "OPEN 1 a c=x,c=y,d=1", "OPEN 1 a c=x,d=1,t=a,t=b",
+		"OPEN 1 a c=x,d=soon", "OPEN 1 a c=x,d=1,h=NaN", "OPEN 1 a c=x,d=1,h=-1", "OPEN 1 a c=x,d=1,mid=yes", "OPEN 1 a c=x,d=1,r=2",
+		"OPEN 1 a c=x,d=1,again=11", "OPEN 1 -a c=x,d=1", "OPEN 1 a c=x,d="} {
 		_, err := ParseOpening([]byte(text + "\r\n"))
 		assert.Error(t, err, text)
 	}
@@ -78,6 +81,8 @@
 	f.Add([]byte(open))
 	f.Add([]byte("OPEN 1 a d=1,c=x\n"))
 	f.Add([]byte("OPEN 1 a c=x,at=s"))
+	f.Add([]byte("OPEN 1 a c=x,d=99999999999999999999,h=1e999,d=-5"))
+	f.Add([]byte("OPEN 9b1f03aa5c7e2d41"))
 	f.Fuzz(func(t *testing.T, text []byte) {
 		o, err := ParseOpening(text)
 		if err != nil {
@@ -96,6 +101,8 @@
 
 func FuzzCut(f *testing.F) {
 	f.Add([]byte("UP r\r\nLOAD 3\r\n"))
+	f.Add(bytes.Repeat([]byte("k"), 2*Most))
+	f.Add([]byte("LOAD NaN\r\nLOAD -1\r\nLOAD 1e999\r\n\r\n\n"))
 	f.Fuzz(func(t *testing.T, buf []byte) {
 		text, err := Cut(buf)
 		if err == nil && len(text) > 0 {
--- a/internal/net/carrier.go
+++ b/internal/net/carrier.go
@@ -35,11 +35,7 @@
 func (c carrier) Busy(owner slot.ID, retryAfter time.Duration) {
 	c.node.count.Add("operations answered: busy")
 	if f, ok := c.node.fronts.Get(owner); ok {
-		text := "BUSY\r\n"
-		if retryAfter > 0 {
-			text = fmt.Sprintf("BUSY %d\r\n", (retryAfter+time.Millisecond-1)/time.Millisecond)
-		}
-		f.answer(c.node.now(), text)
+		f.busy(c.node.now(), retryAfter)
 	}
 }
 
--- a/internal/net/desk.go
+++ b/internal/net/desk.go
@@ -52,21 +52,35 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), min(wait, until-n.now()))
 	d.cancel = cancel
-	go n.dial(ctx, d, address.String())
+	n.dial(ctx, d, address.String())
 	return nil
 }
 
+// dial makes a connection off the loop; the socket is told of it by opened, or by closed that there is none.
 func (n *Node) dial(ctx context.Context, s socket, address string) {
+	n.dialling++
+	go func() {
+		if err := n.enroll(ctx, s, address); err != nil {
+			n.post(func(now time.Duration) {
+				n.dialling--
+				s.closed(now, false)
+			})
+		}
+	}()
+}
+
+func (n *Node) enroll(ctx context.Context, s socket, address string) error {
 	dialer := stdnet.Dialer{KeepAlive: -1}
 	c, err := dialer.DialContext(ctx, "tcp", address)
-	if err == nil {
-		if _, err = n.loop.Enroll(gnet.NewContext(context.Background(), s), c); err != nil {
-			_ = c.Close()
-		}
+	if err != nil {
+		return err
 	}
+	done, err := n.loop.Enroll(gnet.NewContext(context.Background(), s), c)
 	if err != nil {
-		n.post(func(now time.Duration) { s.closed(now, false) })
+		_ = c.Close()
+		return err
 	}
+	return (<-done).Err // danger: what fails here, for want of a descriptor, is told nowhere else
 }
 
 // opened sends the first line as it came, but for how long we wait.
--- a/internal/net/front.go
+++ b/internal/net/front.go
@@ -1,12 +1,14 @@
 package net
 
 import (
+	"errors"
 	"fmt"
 	"syscall"
 	"time"
 
 	"github.com/panjf2000/gnet/v2"
 
+	"tealtiller/internal/deadline"
 	"tealtiller/internal/line"
 	"tealtiller/internal/slot"
 	"tealtiller/policy"
@@ -23,7 +25,9 @@
 	desk    *desk
 	ending  bool // we have said our last; what still comes is thrown away
 	linger  bool
-	half    *half // the client has ended its sending only
+	half    *half              // the client has ended its sending only
+	since   time.Duration      // silent since: it came, was last answered, or we have said our last
+	limit   *deadline.Deadline // of its silence
 }
 
 func newFront(n *Node) *front {
@@ -32,22 +36,45 @@
 	return f
 }
 
-// reserve is what stays free of the descriptors for dialling, discovery and what the runtime needs.
-const reserve = 64
-
-func (f *front) opened(_ time.Duration, c gnet.Conn) gnet.Action {
-	f.conn = c
+func (f *front) opened(now time.Duration, c gnet.Conn) gnet.Action {
 	f.node.count.Add("front sockets accepted")
-	// Danger: a listener that finds no descriptor ends the whole event loop.
-	if limit := f.node.cfg.Sockets; limit > 0 && f.node.fronts.Len()+f.node.desks.Len() > limit-reserve {
+	enough := f.node.room(0)
+	f.conn = c
+	if !enough {
 		f.node.count.Add("front sockets refused: too many")
+		f.ending = true
+		f.say(f.node.busyLine(shortage))
 		return gnet.Close
 	}
+	f.silent(now, f.node.patience, "ERR no request in time\r\n")
 	return gnet.None
 }
 
+// mostSilent is how long a front socket may go without a whole command, from when it came or was last answered.
+// Danger: those that open by the hundred and say nothing, or drip, would keep the descriptors that clients need.
+// They are owed an answer within 3 s.
+const mostSilent = 2 * time.Second
+
+// silent gives the client so long to say something; then it is told a last line, if any, and closed.
+func (f *front) silent(now, most time.Duration, last string) {
+	f.node.deadlines.Stop(f.limit)
+	f.since = now
+	f.limit = f.node.deadlines.Set(now+most, func(time.Duration) {
+		if last != "" {
+			f.node.count.Add("front sockets closed: silent")
+			f.ending = true
+			f.say(last)
+		}
+		f.node.end(f.conn, false)
+	})
+}
+
+// atOnce is how many commands a client may send before it has read the answers.
+const atOnce = 16
+
 // traffic reads lines until the first that must wait.
 func (f *front) traffic(now time.Duration) {
+	commands := 0
 	for f.conn != nil && f.conn.InboundBuffered() > 0 {
 		if f.ending {
 			_, _ = f.conn.Discard(-1)
@@ -66,6 +93,10 @@
 		if len(text) == 0 {
 			return
 		}
+		if commands++; commands > atOnce {
+			f.malformed(now, errors.New("too many commands at once"))
+			return
+		}
 		f.first(now, text)
 		if f.conn != nil {
 			_, _ = f.conn.Discard(len(text))
@@ -87,12 +118,11 @@
 		default:
 			f.say(fmt.Sprintf("PONG inflight=%d\r\n", f.node.table.Len()))
 		}
+		f.silent(now, f.node.patience, "ERR no request in time\r\n")
 	case line.Open:
 		opening, err := line.ParseOpening(text)
 		if err == nil {
-			if _, known := f.node.cfg.Settings.Policy.Classes[opening.Class]; !known {
-				err = fmt.Errorf("no class %q", opening.Class)
-			}
+			err = f.node.refusal(opening)
 		}
 		if err != nil {
 			f.malformed(now, err)
@@ -104,6 +134,30 @@
 	}
 }
 
+// refusal tells what speaks against an opening that can be read.
+func (n *Node) refusal(o line.Opening) error {
+	if _, known := n.cfg.Settings.Policy.Classes[o.Class]; !known {
+		return fmt.Errorf("no class %q", o.Class)
+	}
+	if n.table.Open(o.ID) {
+		return fmt.Errorf("an operation of id %s is open", o.ID)
+	}
+	return nil
+}
+
+// shortage is when a client may come back that found no descriptor left: by then those who say nothing are gone.
+const shortage = 500 * time.Millisecond
+
+// busyLine refuses; where the settings allow it, it tells when to come back.
+func (n *Node) busyLine(retryAfter time.Duration) string {
+	if retryAfter <= 0 || !n.cfg.Settings.RetryAfter {
+		return "BUSY\r\n"
+	}
+	return fmt.Sprintf("BUSY %d\r\n", (retryAfter+time.Millisecond-1)/time.Millisecond)
+}
+
+func (f *front) busy(now, retryAfter time.Duration) { f.answer(now, f.node.busyLine(retryAfter)) }
+
 // margin is taken off a client's time, for the way of our answer.
 const margin = 20 * time.Millisecond
 
@@ -111,8 +165,14 @@
 	n := f.node
 	f.opening, f.taken = o, true
 	n.lastOpen = now
+	if !n.room(2) { // danger: a dial without a descriptor would look like an ill desk host
+		n.count.Add("operations refused: no descriptors")
+		f.busy(now, shortage)
+		return
+	}
+	n.deadlines.Stop(f.limit)
 	n.count.Add("operations taken")
-	q := policy.Request{Class: o.Class, Key: o.Key, HasKey: true, TTL: max(o.Wait-margin, 0),
+	q := policy.Request{ID: o.ID, Class: o.Class, Key: o.Key, HasKey: true, TTL: max(o.Wait-margin, 0),
 		MidFlow: o.MidFlow, Returned: o.Returned}
 	if n.cfg.Settings.Groups && o.HasGroup {
 		q.Key = o.Group
@@ -159,20 +219,20 @@
 		f.node.end(f.conn, false)
 		return
 	}
-	f.node.deadlines.Set(now+lingering, func(time.Duration) { f.node.end(f.conn, false) })
+	f.silent(now, lingering, "")
 }
 
 // relay passes whole lines on to the desk host once the connection stands.
 func (f *front) relay(now time.Duration) {
 	d := f.desk
+	buf, _ := f.conn.Peek(-1)
 	if d == nil || !d.up {
-		if f.conn.InboundBuffered() > mostBuffered {
-			f.node.count.Add("lines refused: too many before UP")
-			f.node.end(f.conn, true)
+		if err := early(buf, f.node.buffered()); err != nil {
+			f.malformed(now, err)
+			f.node.table.Left(now, f.op)
 		}
 		return
 	}
-	buf, _ := f.conn.Peek(-1)
 	end := 0
 	for end < len(buf) {
 		text, err := line.Cut(buf[end:])
@@ -197,6 +257,21 @@
 	}
 }
 
+// early tells what is wrong with what a client sends before it has its answer. Most wait; a command cannot.
+func early(buf []byte, most int) error {
+	text, err := line.Cut(buf)
+	if err != nil {
+		return err
+	}
+	if kind, _ := line.Parse(text); kind.Command() {
+		return errors.New("a command before the answer to OPEN")
+	}
+	if len(buf) > most {
+		return errors.New("too much before the answer to OPEN")
+	}
+	return nil
+}
+
 // pass hands lines of the desk host to the client.
 func (f *front) pass(now time.Duration, lines []byte) {
 	if f.half == nil {
@@ -208,13 +283,14 @@
 
 func (f *front) detach(reset bool) {
 	if !reset && !f.ending && f.desk != nil && f.desk.up {
-		f.half = newHalf(f.conn)
+		f.half = newHalf(f.node, f.conn)
 	}
 	f.conn = nil
 }
 
 func (f *front) closed(now time.Duration, reset bool) {
 	defer f.node.fronts.Remove(f.id) // last: its route step is found by its number
+	f.node.deadlines.Stop(f.limit)
 	if !f.taken || f.ending {
 		f.half.close(reset)
 		return
--- a/internal/net/half.go
+++ b/internal/net/half.go
@@ -8,14 +8,18 @@
 
 // half is a client's socket of which only our sending is still open. gnet closes a connection whose peer has
 // ended its sending; a duplicate of the descriptor keeps the socket for what the desk host still says.
-type half struct{ fd int }
+type half struct {
+	node *Node
+	fd   int
+}
 
-func newHalf(c gnet.Conn) *half {
+func newHalf(n *Node, c gnet.Conn) *half {
 	fd, err := c.Dup()
 	if err != nil {
 		return nil
 	}
-	return &half{fd}
+	n.halves++
+	return &half{n, fd}
 }
 
 // write tells whether all was written. There is no waiting for a client that does not read.
@@ -33,5 +37,6 @@
 		_ = syscall.SetsockoptLinger(h.fd, syscall.SOL_SOCKET, syscall.SO_LINGER, &syscall.Linger{Onoff: 1})
 	}
 	_ = syscall.Close(h.fd)
+	h.node.halves--
 	h.fd = -1
 }
--- a/internal/net/node.go
+++ b/internal/net/node.go
@@ -20,6 +20,7 @@
 
 	"tealtiller/internal/counters"
 	"tealtiller/internal/deadline"
+	"tealtiller/internal/line"
 	"tealtiller/internal/operation"
 	"tealtiller/internal/poolconfig"
 	"tealtiller/internal/settings"
@@ -46,6 +47,10 @@
 	pool      pool
 	delays    delays
 
+	connections int // of gnet, dialled and accepted
+	dialling    int // each has a descriptor, and for a moment its duplicate
+	halves      int
+
 	events   []func(now time.Duration)
 	busy     bool
 	timer    *time.Timer
@@ -54,6 +59,7 @@
 	lastOpen time.Duration // when the last OPEN came
 	stopped  chan struct{}
 	silence  time.Duration // how long a client's line may stay unanswered
+	patience time.Duration // how long a front socket may go without a whole command
 }
 
 // socket is what stands behind a gnet connection.
@@ -67,7 +73,8 @@
 // NewNode makes a balancer that writes its counters to out.
 func NewNode(cfg settings.Config, known *poolconfig.List, out io.Writer) *Node {
 	n := &Node{cfg: cfg, known: known, out: out, origin: time.Now(), count: counters.Set{},
-		addresses: map[string]netip.AddrPort{}, booted: make(chan struct{}), stopped: make(chan struct{}), silence: silence}
+		addresses: map[string]netip.AddrPort{}, booted: make(chan struct{}), stopped: make(chan struct{}), silence: silence,
+		patience: mostSilent}
 	n.pool = pool{node: n, address: cfg.Discovery, client: poolconfig.NewClient(cfg.Discovery, known.Revision)}
 	n.delays = newDelays()
 	n.adopt(cfg)
@@ -121,7 +128,7 @@
 	failed := make(chan error, 1)
 	go func() {
 		failed <- gnet.Run(n, "tcp://"+n.cfg.Listen, gnet.WithNumEventLoop(1), gnet.WithReuseAddr(true),
-			gnet.WithTicker(true), gnet.WithLoadBalancing(gnet.LeastConnections)) // round robin races with ring
+			gnet.WithTicker(true), gnet.WithReusePort(true)) // accepts on the loop: see room
 	}()
 	select {
 	case <-n.stopped:
@@ -255,6 +262,10 @@
 		s = newFront(n)
 		c.SetContext(s)
 	}
+	n.connections++
+	if ok {
+		n.dialling--
+	}
 	action := gnet.None
 	n.do(func(now time.Duration) { action = s.opened(now, c) })
 	return nil, action
@@ -274,6 +285,7 @@
 	if _, isBell := c.Context().(bell); !ok || isBell {
 		return gnet.None
 	}
+	n.connections--
 	reset := err != nil && !errors.Is(err, io.EOF)
 	s.detach(reset)
 	n.do(func(now time.Duration) { s.closed(now, reset) })
@@ -291,7 +303,42 @@
 	_ = n.loop.Close(c)
 }
 
-// mostBuffered bounds what waits for a peer that does not read.
+// own is how many descriptors are neither a front socket's nor a desk host's: the standard streams, pollers,
+// the listener, discovery, a configuration that is being read.
+const own = 24
+
+// room sees to it that so many more descriptors may be opened. Where they are short, the front socket goes
+// that has been silent for longest, before any client with a request is refused.
+//
+// Danger: a listener that finds no descriptor ends the whole event loop, and so it would if another goroutine
+// accepted hundreds before the loop had a chance to count them.
+func (n *Node) room(more int) bool {
+	for n.cfg.Sockets > 0 && n.connections+2*n.dialling+n.halves+more > n.cfg.Sockets-own {
+		var silent *front
+		for _, f := range n.fronts.All() {
+			if f.conn != nil && (!f.taken || f.linger) && (silent == nil || f.since < silent.since) {
+				silent = f
+			}
+		}
+		if silent == nil {
+			return false
+		}
+		n.count.Add("front sockets closed: silent, descriptors short")
+		silent.ending = true
+		n.end(silent.conn, false)
+	}
+	return true
+}
+
+// buffered is how much may wait for one peer that does not read, or from one that must wait: of a quarter of
+// the memory its part, but two lines at the least.
+func (n *Node) buffered() int {
+	if n.cfg.MemoryMB <= 0 || n.cfg.Sockets <= 0 {
+		return mostBuffered
+	}
+	return min(max(int(n.cfg.MemoryMB<<20)/4/n.cfg.Sockets, 2*line.Most), mostBuffered)
+}
+
 const mostBuffered = 256 << 10
 
 // write sends bytes on a connection; one that fails or whose peer does not read is ended.
@@ -302,7 +349,7 @@
 	if _, err := c.Write(data); err != nil {
 		return // closed by gnet, and told to OnClose
 	}
-	if c.OutboundBuffered() > mostBuffered {
+	if c.OutboundBuffered() > n.buffered() {
 		n.count.Add("sockets ended: peer does not read")
 		n.end(c, true)
 	}
--- a/internal/net/pool.go
+++ b/internal/net/pool.go
@@ -68,7 +68,7 @@
 func (p *pool) dial() {
 	ctx, cancel := context.WithTimeout(context.Background(), dialLimit)
 	p.call = &call{pool: p, cancel: cancel}
-	go p.node.dial(ctx, p.call, p.address)
+	p.node.dial(ctx, p.call, p.address)
 }
 
 // ask makes the next call on the connection, at once: a watch lasts only as long as calls follow closely.
--- a/internal/net/probe.go
+++ b/internal/net/probe.go
@@ -110,7 +110,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	l.probe = &probe{node: n, lag: l, cancel: cancel}
-	go n.dial(ctx, l.probe, address.String())
+	n.dial(ctx, l.probe, address.String())
 }
 
 func (p *probe) send(now time.Duration) {
--- a/internal/net/scenario_test.go
+++ b/internal/net/scenario_test.go
@@ -25,7 +25,7 @@
 
 // A scenario is a file of lines that drive a real node against scripted peers, one step a line:
 //
-//	set KEY=VALUE           settings before the node starts: hosts, dead, mode, probing, discovery, sockets, silence
+//	set KEY=VALUE           settings before the node starts: hosts, dead, mode, probing, discovery, sockets, silence, patience
 //	NAME connect            a client connects to the node
 //	NAME accept             takes the next connection that reached a desk host or, for pool, discovery
 //	NAME send TEXT          sends a line; \r\n in it splits it, ... at its end leaves it open
@@ -119,7 +119,8 @@
 		p = &peer{}
 		r.peers[who] = p
 	}
-	text = strings.NewReplacer(`\r`, "\r", `\n`, "\n", "LONG", strings.Repeat("x", 5000)).Replace(text)
+	text = strings.NewReplacer(`\r`, "\r", `\n`, "\n", "LONG", strings.Repeat("x", 5000),
+		"MANY PINGS", strings.Repeat("PING\r\n", 20)).Replace(text)
 	switch verb {
 	case "connect":
 		c, err := stdnet.Dial("tcp", r.node.cfg.Listen)
@@ -254,9 +255,12 @@
 	list, err := poolconfig.Parse(cfg.Known)
 	require.NoError(r.t, err)
 	r.node, r.exited = NewNode(cfg, list, &r.out), make(chan error, 1)
-	if s, ok := r.set["silence"]; ok {
-		r.node.silence, err = time.ParseDuration(s)
-		require.NoError(r.t, err)
+	r.node.patience = limit // what a busy machine delays is no silence
+	for name, span := range map[string]*time.Duration{"silence": &r.node.silence, "patience": &r.node.patience} {
+		if s, ok := r.set[name]; ok {
+			*span, err = time.ParseDuration(s)
+			require.NoError(r.t, err)
+		}
 	}
 	go func() { r.exited <- r.node.Run() }()
 	require.NoError(r.t, r.within(func() error { <-r.node.booted; return nil }))
@@ -274,7 +278,7 @@
 
 // config is the text of a configuration whose file names a discovery of its own.
 func (r *rig) config() string {
-	set := fmt.Sprintf(`{"allowed":{"tryLimit":6,"connectTimeout":1000000000,"probing":%s},"discovery":%q,"tick":4000000,"siblings":1,
+	set := fmt.Sprintf(`{"allowed":{"tryLimit":6,"connectTimeout":1000000000,"retryAfter":true,"probing":%s},"discovery":%q,"tick":4000000,"siblings":1,
 		"familyInfo":{"groups":true,"mode":%q,"messageAim":[250000000]},
 		"grades":[{"name":"lookup","aim":2000000000,"deadline":1200000000,"effect":"safe","dedupScope":"all"}],
 		"invariants":{"askWithin":10000000000,"coldFrom":0.15,"fall":1000000000,"overloadFactor":3,"stopSendingWithin":300000000,"warmAfter":22000000000}}`,
--- a/internal/operation/operation.go
+++ b/internal/operation/operation.go
@@ -37,6 +37,7 @@
 	deadlines *deadline.Queue
 	count     counters.Set
 	ops       slot.Table[*operation]
+	open      map[string]slot.ID // by the client's id
 	queue     []func(now time.Duration)
 	now       time.Duration
 }
@@ -44,6 +45,7 @@
 type operation struct {
 	id       slot.ID
 	name     string // as the module knows it
+	client   string // as the client calls it; empty where it has no id
 	owner    slot.ID
 	out      bool // a route step is out
 	stands   bool
@@ -54,7 +56,7 @@
 
 // New makes an empty table with a module that starts from nothing.
 func New(set policy.Settings, seed uint64, carrier Carrier, q *deadline.Queue, count counters.Set) *Table {
-	t := &Table{carrier: carrier, deadlines: q, count: count}
+	t := &Table{carrier: carrier, deadlines: q, count: count, open: map[string]slot.ID{}}
 	t.module = policy.New(set, seed, host{t})
 	return t
 }
@@ -75,9 +77,19 @@
 	return n
 }
 
-func (t *Table) add(owner slot.ID) *operation {
-	op := &operation{owner: owner}
+// Open tells whether an operation of this client's id is open. Danger: another client that sends the same id
+// would have the desk hosts refuse what they already hold, and be taken to be ill for it.
+func (t *Table) Open(client string) bool {
+	_, ok := t.open[client]
+	return ok
+}
+
+func (t *Table) add(owner slot.ID, client string) *operation {
+	op := &operation{owner: owner, client: client}
 	op.id = t.ops.Add(op)
+	if client != "" {
+		t.open[client] = op.id
+	}
 	op.name = strconv.FormatUint(uint64(op.id), 16)
 	return op
 }
@@ -91,9 +103,10 @@
 	return op
 }
 
-// Take takes a client's request; what the module does with it is carried out before this returns.
+// Take takes a client's request, under the client's own id, which must not be open; what the module does with
+// it is carried out before this returns.
 func (t *Table) Take(now time.Duration, owner slot.ID, q policy.Request) slot.ID {
-	op := t.add(owner)
+	op := t.add(owner, q.ID)
 	q.ID, t.now = op.name, now
 	t.module.Request(now, q)
 	t.settle()
@@ -102,7 +115,7 @@
 
 // Hand takes a connection that stands at a desk host already; its first route step goes there.
 func (t *Table) Hand(now time.Duration, owner slot.ID, q policy.Request, server string) slot.ID {
-	op := t.add(owner)
+	op := t.add(owner, q.ID)
 	q.ID, t.now, op.handed = op.name, now, true
 	t.module.Open(now, q, server)
 	t.begin(op, server, q.TTL)
@@ -234,6 +247,7 @@
 func (t *Table) remove(op *operation) {
 	t.deadlines.Stop(op.until)
 	t.ops.Remove(op.id)
+	delete(t.open, op.client)
 }
 
 // host carries out the module's actions. Its methods do not call the module.
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -18,6 +18,7 @@
 	ConnectTimeout time.Duration // a connection that is not up by then failed
 	Groups         bool          // a connection's group is its key
 	Probes         bool          // desk hosts may be asked for load reports
+	RetryAfter     bool          // a refused client may be told when to come back
 	PassThrough    bool          // packets pass through: connections outlive this process
 	Deadline       time.Duration // the longest of any class
 }
@@ -139,6 +140,8 @@
 		d.out.Policy.Peers = d.l.Bool()
 	case "probing":
 		d.out.Probes = d.l.Bool()
+	case "retryAfter":
+		d.out.RetryAfter = d.l.Bool()
 	case "connectTimeout":
 		d.out.ConnectTimeout = d.time()
 	default:
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -13,7 +13,7 @@
 )
 
 const told = `{"tick":4000000,"siblings":2,"discovery":"subscribe","locality":"llandaff","unknown":[{"a":1}],"report":null,
- "allowed":{"tryLimit":6,"peers":false,"probing":true,"connectTimeout":150000000},
+ "allowed":{"tryLimit":6,"peers":false,"probing":true,"retryAfter":true,"connectTimeout":150000000},
  "familyInfo":{"groups":true,"mode":"pass","messageAim":[250000000,50000000]},
  "grades":[{"name":"lookup","aim":300000000,"deadline":1200000000,"effect":"safe","dedupScope":"all","repeatWindow":5000000000},
   {"name":"seat-set","aim":300000000,"deadline":900000000,"effect":"novel","dedupScope":"novel"}],
@@ -23,7 +23,7 @@
 func TestDecode(t *testing.T) {
 	got, err := Decode([]byte(told))
 	require.NoError(t, err)
-	assert.Equal(t, Settings{ConnectTimeout: 150 * time.Millisecond, Groups: true, Probes: true, PassThrough: true,
+	assert.Equal(t, Settings{ConnectTimeout: 150 * time.Millisecond, Groups: true, Probes: true, RetryAfter: true, PassThrough: true,
 		Deadline: 1200 * time.Millisecond,
 		Policy: policy.Settings{MaxAttempts: 6, Siblings: 2, Tick: 4 * time.Millisecond, MustAsk: true, Zone: "llandaff",
 			AskWithin: 10 * time.Second, ColdFrom: 0.15, Fall: time.Second, OverloadFactor: 3,
