Carry on what stands while draining, where packets pass through

Logging each first line showed it: as soon as the drained balancer ended, 0.6 s after SIGTERM, all its clients came again (again=1, none mid=1). Where the balancer is killed instead, its packets reach another one (mid=1) and nothing breaks.

At fault: Node.drained ended the process, and with it its sockets, once all was answered, also in pass mode. Now it goes on until nothing stands, or until it is stopped for good; a held connection at SIGKILL is no loss there. Proxy mode is as before.

--- a/internal/net/node.go
+++ b/internal/net/node.go
@@ -385,8 +385,11 @@
 	})
 }
 
-// drained stops the node once all taken is answered and clients have ceased to come, at the latest at a time.
-// Where connections do not pass through, those that stand are moved, also those that have come up since.
+// drained stops the node once all taken is answered and clients have ceased to come. Where connections end here,
+// those that stand are moved, also those that have come up since, and the node stops at a time at the latest.
+//
+// Danger: where packets pass through, our end is the end of what stands, and its clients would come again; as
+// long as we run it is carried on. Whoever stops us for good lets its packets reach another balancer.
 func (n *Node) drained(now, latest time.Duration) {
 	if !n.cfg.Settings.PassThrough {
 		for _, d := range n.desks.All() {
@@ -395,7 +398,9 @@
 			}
 		}
 	}
-	if n.table.Owed() == 0 && now-n.lastOpen >= settled || now >= latest {
+	answered := n.table.Owed() == 0 && now-n.lastOpen >= settled
+	if n.cfg.Settings.PassThrough && answered && n.table.Len() == 0 ||
+		!n.cfg.Settings.PassThrough && (answered || now >= latest) {
 		n.report()
 		close(n.stopped)
 		return
