Keep what is known of a crowded desk host that holds none of our connections

Logging ends and reports showed one client sent to the same desk host 11 times in 5.5 s, and dropped each time within 0.2 to 0.5 s; its reports tell x0 3.3 to 3.9, but no sooner than it holds something of ours.

At fault: delays.look forgot a desk host as soon as nothing of ours stood there, and delays.shed told the module only where another connection stood, since notes name a connection. So the desk host looked empty again each time, the less occupied of the two. Ruled out: the age of the reports (0.5 s), the strike, which is for set-ups that fail.

Now the module is told of the desk host itself (policy.Delay), and a crowded one is kept, asked for its reports and told of until it has room or answers no more.

--- a/internal/net/delay.go
+++ b/internal/net/delay.go
@@ -5,7 +5,6 @@
 	"slices"
 	"time"
 
-	"tealtiller/internal/slot"
 	"tealtiller/policy"
 )
 
@@ -18,12 +17,11 @@
 	lags  map[string]*lag
 }
 
-// lag is what is known of one desk host, while connections of ours stand there.
+// lag is what is known of one desk host, while connections of ours stand there or it is known to be crowded.
 type lag struct {
 	probe    *probe
 	echo     time.Duration // the shortest from a line to the next, since the module was told
 	waiting  time.Duration // for how long a line has been without an answer
-	standing slot.ID       // a connection there
 	seen     bool          // at this look
 	fresh    bool          // set-ups have come up there since the last probe
 	probedAt time.Duration
@@ -76,14 +74,16 @@
 }
 
 // look probes the desk hosts at which connections of ours stand, where that is due, and forgets the others.
+// Danger: one that drops all that we send it holds none of ours, and would look empty again at each look; so
+// what is known to be crowded is kept until it no longer is, or answers no more, and the module has heard of that.
 func (s *delays) look(n *Node, now time.Duration) {
 	for _, l := range s.lags {
 		l.seen, l.waiting, l.report.open, l.report.since = false, 0, 0, 0
 	}
-	for id, d := range n.desks.All() {
+	for _, d := range n.desks.All() {
 		if d.up {
 			l := s.of(d.server)
-			l.seen, l.standing = true, id
+			l.seen = true
 			if l.report.open++; d.upAt > l.report.madeAt {
 				l.report.since++
 			}
@@ -94,7 +94,7 @@
 	}
 	for _, server := range slices.Sorted(maps.Keys(s.lags)) {
 		l := s.lags[server]
-		if !l.seen {
+		if !l.seen && !l.report.crowded(now) && !l.told {
 			l.probe.close()
 			delete(s.lags, server)
 			continue
@@ -107,7 +107,7 @@
 			l.fresh, l.probedAt = false, now
 			n.ask(server, l, now)
 		}
-		s.tell(n, now, l)
+		s.tell(n, now, server, l)
 	}
 }
 
@@ -116,27 +116,21 @@
 func (s *delays) shed(n *Node, now time.Duration, server string) {
 	l := s.of(server)
 	l.report.shed(now)
-	for id, d := range n.desks.All() {
-		if d.up && d.server == server {
-			l.standing = id
-			s.tell(n, now, l)
-			return
-		}
-	}
+	s.tell(n, now, server, l)
 }
 
 // tell tells the module of a desk host, if that is due. What still waits for an answer counts by its age.
-func (s *delays) tell(n *Node, now time.Duration, l *lag) {
+func (s *delays) tell(n *Node, now time.Duration, server string, l *lag) {
 	if now-l.toldAt < noteEvery {
 		return
 	}
 	took := max(l.report.expected(now), l.echo, l.waiting)
 	l.echo = 0
 	slow := took > s.third
-	if d, ok := n.desks.Get(l.standing); ok && (slow || l.told) {
+	if slow || l.told {
 		n.count.Add("delays told")
 		l.toldAt = now
-		n.table.Note(now, d.front.op, policy.NoteDelay, float64(took)/float64(time.Millisecond))
+		n.table.Delay(now, server, took)
 	}
 	l.told = slow
 }
--- a/internal/net/probe.go
+++ b/internal/net/probe.go
@@ -71,6 +71,11 @@
 
 const notBusy, fullyBusy, unseenBacklog = 0.9, 0.96, 100 * time.Millisecond
 
+// crowded tells whether the last report, not too old, has the desk host near its capacity.
+func (r *report) crowded(now time.Duration) bool {
+	return r.at > 0 && now-r.at <= staleAfter && r.x0 >= crowded
+}
+
 // expected is how long a message takes there, by the reports.
 func (r *report) expected(now time.Duration) time.Duration {
 	if r.at == 0 || now-r.at > staleAfter {
--- a/internal/operation/operation.go
+++ b/internal/operation/operation.go
@@ -176,6 +176,13 @@
 	}
 }
 
+// Delay tells how long a message takes now at a server.
+func (t *Table) Delay(now time.Duration, server string, delay time.Duration) {
+	t.now = now
+	t.module.Delay(now, server, delay)
+	t.settle()
+}
+
 // Members tells what is new of the pool config.
 func (t *Table) Members(now time.Duration, kind policy.MembersKind, entries []policy.Server) {
 	t.now = now
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -301,6 +301,13 @@
 	}
 }
 
+// Delay tells how long a message takes now at a server, one that holds none of our connections included.
+func (b *Balancer) Delay(now time.Duration, server string, delay time.Duration) {
+	if s := b.servers[server]; s != nil {
+		b.delayed(now, s, delay)
+	}
+}
+
 // delayed cuts what a crowded server holds of ours. A delay is work piled up: its growth is excess load, and
 // both must go by the next note. Danger: over a half, cut by all siblings at once, is a storm elsewhere.
 func (b *Balancer) delayed(now time.Duration, s *server, delay time.Duration) {
