Send mid-flow arrivals past desk hosts that started lately, which cannot hold them

Logging each send and end: of 12 such arrivals at 14.96 s, 8 went to a desk host that had started 5.6 s before, by a release just past, and held none of them.

Now a desk host younger than 20 s, the least mean life of a connection, is passed over for mid-flow arrivals unless all are young. The ranking still depends on list and key alone, alike at every balancer. Ruled out: the drain (all were carried to SIGKILL), the new discovery (list in within 0.5 s).

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -224,6 +224,8 @@
 		case why > cold && !guessesYield:
 			ends = min(ends, r.patient)
 		case eligible < why && why < cold:
+		case r.keeps() && b.young(now, s): // it holds what came since; any other resets a connection
+			top = cmp.Or(top, s)
 		case r.keeps(): // its holder is most likely the top
 			return s, 0
 		case skip >= 0: // popular
@@ -238,6 +240,14 @@
 	return top, ends
 }
 
+// young tells whether a server has started so lately that it holds little of what is open: connections last
+// for many seconds, and one that arrives mid-flow was placed by the list of its time.
+func (b *Balancer) young(now time.Duration, s *server) bool {
+	return s.Started > 0 && now-s.Started < lasting
+}
+
+const lasting = 20 * time.Second // the least that a site's connections last on average
+
 // popular draws how many of a key's top ranks a request passes over. Danger: a key of many clients fills
 // its two servers, unseen by a balancer with few connections. By its share of our requests it is spread
 // until each has two servers' mean of it; each pays for the group's work again. A return counts twice.
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -1075,3 +1075,33 @@
 		}
 	}
 }
+
+// What arrives mid-flow was placed before a young server joined: the top of the others holds it, unless all are young.
+func TestMidFlowPassesOverYoungServers(t *testing.T) {
+	set := settings()
+	set.WarmAfter = time.Second // so that no budget of a cold one interferes
+	b, h := newBalancerWith(t, set, fleet(5))
+	ranked := ids(b, 7)
+	join := func(id string) {
+		s := Server{ID: id, State: Ready, Weight: 1, Started: t0}
+		b.Members(t0, Delta, []Server{s})
+	}
+	mid := func(id string, now time.Duration) string {
+		q := req(id, 7)
+		q.MidFlow = true
+		return send(t, b, h, now, q)
+	}
+	join(ranked[0])
+	if got := mid("a", t0+5*time.Second); got != ranked[1] {
+		t.Errorf("the young top got it, not %s: %s", ranked[1], got)
+	}
+	if got := mid("b", t0+lasting); got != ranked[0] {
+		t.Errorf("%s got it, not the top, which is old by now", got)
+	}
+	for _, id := range ranked {
+		join(id)
+	}
+	if got := mid("c", t0+5*time.Second); got != ranked[0] {
+		t.Errorf("%s got it, not the top of servers that are all young", got)
+	}
+}
