Ask filling desk hosts more often, and believe one dropped connection only without room

Logging each report and end: - one desk host goes from x0 0.62 to 1.42 between 3 and 5 s. One balancer saw 1.11 at 3.45 s and told the module at 5.69 s: learn cleared the backlog by the mean of two utils (0.85), though more was asked than the cores can do. The other did not ask between 3.19 and 6.20 s, as the load was under 0.7 (probeIdle). - another one with x0 0 was passed over for 0.8, 2, 3 and 10 s in turn, after the network broke single connections: shed took each as a sign of crowding, and nobody asked for the report that denies it. Ruled out: cores and descriptors, the time of set-ups (p50 6 ms), the discovery list.

Now the mean clears nothing while x0 is over 1, a desk host is asked each second from x0 0.4 as grown by what came up since, and a single drop at one whose report shows room is not believed.

--- a/internal/net/delay.go
+++ b/internal/net/delay.go
@@ -33,9 +33,6 @@
 // look is how often desk hosts are looked at; noteEvery, how often the module is told at most.
 const look, noteEvery = 250 * time.Millisecond, time.Second
 
-// A desk host refreshes its report about once a second. One with room is asked less often: probes cost it work.
-const probeEvery, probeIdle, crowded = 500 * time.Millisecond, 3 * time.Second, 0.7
-
 func newDelays() delays { return delays{lags: map[string]*lag{}} }
 
 // aims takes the settings' message aims; without any, desk hosts are not looked at.
@@ -99,8 +96,8 @@
 			delete(s.lags, server)
 			continue
 		}
-		every := probeIdle
-		if l.fresh || l.report.x0 >= crowded {
+		every := l.report.next()
+		if l.fresh {
 			every = probeEvery
 		}
 		if n.cfg.Settings.Probes && now-l.probedAt >= every {
@@ -115,8 +112,10 @@
 // up, before any report of it comes, and its clients are back within a second; the module must know by then.
 func (s *delays) shed(n *Node, now time.Duration, server string) {
 	l := s.of(server)
-	l.report.shed(now)
-	s.tell(n, now, server, l)
+	l.fresh = true // asked for its report at the next look
+	if l.report.shed(now) {
+		s.tell(n, now, server, l)
+	}
 }
 
 // tell tells the module of a desk host, if that is due. What still waits for an answer counts by its age.
--- a/internal/net/probe.go
+++ b/internal/net/probe.go
@@ -12,14 +12,15 @@
 
 // report is what a desk host's load reports tell.
 type report struct {
-	x0      float64       // load asked of it over what it can do
-	util    float64       // how busy its cores are; the mean with the report before, where that told another
-	busy    float64       // util as last told
-	at      time.Duration // when that came; 0 before the first
-	backlog time.Duration // work that must have piled up
-	madeAt  time.Duration // when the desk host took the report, about
-	open    int           // connections of ours that stand there
-	since   int           // those of them that came up after the report was made
+	x0        float64       // load asked of it over what it can do
+	util      float64       // how busy its cores are; the mean with the report before, where that told another
+	busy      float64       // util as last told
+	at        time.Duration // when that came; 0 before the first
+	backlog   time.Duration // work that must have piled up
+	madeAt    time.Duration // when the desk host took the report, about
+	droppedAt time.Duration // when it last dropped a connection
+	open      int           // connections of ours that stand there
+	since     int           // those of them that came up after the report was made
 }
 
 // staleAfter is for how long a report is believed.
@@ -34,7 +35,8 @@
 // the report was made.
 //
 // Reports are late and miss what piled up between two of them. But cores that stay busy beyond the load asked
-// are working something off, and cores with time to spare have nothing left.
+// are working something off, and cores with time to spare have nothing left; the mean of two reports tells of
+// no time to spare while more is asked than they can do.
 func (r *report) learn(now time.Duration, x0, util float64) {
 	if r.at > 0 {
 		span := min(now-r.at, staleAfter)
@@ -52,7 +54,7 @@
 		r.busy = util
 	}
 	switch {
-	case r.util > 0 && r.util < notBusy:
+	case r.util > 0 && r.util < notBusy && x0 < 1:
 		r.backlog = 0
 	case r.util >= fullyBusy:
 		r.backlog = max(r.backlog, unseenBacklog)
@@ -60,10 +62,18 @@
 	r.x0, r.at = x0, now
 }
 
-// shed takes that a desk host has dropped what it cannot serve.
-func (r *report) shed(now time.Duration) {
+// shed takes that a desk host has dropped a connection, and tells whether that was for want of room. One alone
+// breaks for other reasons too: where the last report shows room, it takes a second one to belie it.
+func (r *report) shed(now time.Duration) bool {
+	room := r.at > 0 && now-r.at <= staleAfter && r.x0 < crowded
+	again := r.droppedAt > 0 && now-r.droppedAt <= reportAge
+	r.droppedAt = now
+	if room && !again {
+		return false
+	}
 	r.x0, r.at = max(r.x0, 1), now
 	r.backlog = max(r.backlog, shedBacklog)
+	return true
 }
 
 // shedBacklog is what has piled up at the least where a desk host drops connections.
@@ -81,11 +91,29 @@
 	if r.at == 0 || now-r.at > staleAfter {
 		return 0
 	}
-	// What has come up since counts as what stood: the other balancers send there as we do.
-	x0 := r.x0 * float64(r.open+1) / float64(r.open-r.since+1)
-	return r.backlog + time.Duration(float64(idleMessage)/(1-min(x0, nearFull)))
+	return r.backlog + time.Duration(float64(idleMessage)/(1-min(r.grown(), nearFull)))
+}
+
+// grown is the load by now: what has come up since the report counts as what stood, for the other balancers send
+// there as we do.
+func (r *report) grown() float64 { return r.x0 * float64(r.open+1) / float64(r.open-r.since+1) }
+
+// next is when to ask for the next report. A desk host refreshes its own about once a second. One with room is
+// asked less often, for it costs it work; but one that is filling is full before an idle one would be asked again.
+func (r *report) next() time.Duration {
+	switch {
+	case r.grown() >= crowded || r.backlog > 0:
+		return probeEvery
+	case r.grown() >= filling:
+		return 2 * probeEvery
+	}
+	return probeIdle
 }
 
+const probeEvery, probeIdle = 500 * time.Millisecond, 3 * time.Second
+
+const filling, crowded = 0.4, 0.7
+
 // Messages slow down as a desk host nears its capacity, before any work piles up: as in a queue, by one over
 // what is left of it. Near the full that tells nothing more, and stays under the shortest aim here.
 const idleMessage, nearFull = 4 * time.Millisecond, 0.9
--- a/internal/net/probe_test.go
+++ b/internal/net/probe_test.go
@@ -31,14 +31,40 @@
 	assert.InDelta(t, 0.3, r.backlog.Seconds(), 0.001, "worked off")
 	r.learn(5*time.Second, 0.7, 0.7)
 	assert.Zero(t, r.backlog, "cores with time to spare have nothing left")
+	r = report{}
+	r.learn(1*time.Second, 0.6, 0.6)
+	r.learn(2*time.Second, 1.1, 1)
+	assert.InDelta(t, 0.1, r.backlog.Seconds(), 0.001, "the mean tells of time to spare, but there is none")
 }
 
 func TestBusyCoresTellOfWorkUnseen(t *testing.T) {
 	var r report
 	r.learn(1*time.Second, 0.93, 0.98)
 	assert.Equal(t, unseenBacklog, r.backlog)
-	r = report{}
-	r.shed(time.Second)
+}
+
+func TestFillingDeskHostsAreAskedMoreOften(t *testing.T) {
+	r := report{x0: 0.3, open: 4}
+	assert.Equal(t, probeIdle, r.next())
+	r.since = 2
+	assert.Equal(t, 2*probeEvery, r.next(), "half as much again has come up since")
+	r.x0 = 0.6
+	assert.Equal(t, probeEvery, r.next())
+	assert.Equal(t, probeEvery, (&report{backlog: 1}).next())
+}
+
+// A desk host that drops what it cannot serve is crowded; one with room has lost a connection, unless it does so again.
+func TestDropsTellOfCrowding(t *testing.T) {
+	r := report{}
+	assert.True(t, r.shed(time.Second))
 	assert.Equal(t, shedBacklog, r.backlog)
 	assert.Greater(t, r.expected(time.Second), shedBacklog)
+	r = report{}
+	r.learn(time.Second, 0.3, 0.3)
+	assert.False(t, r.shed(2*time.Second))
+	assert.Zero(t, r.backlog)
+	assert.False(t, r.shed(4*time.Second))
+	assert.True(t, r.shed(4*time.Second+reportAge))
+	r.learn(5*time.Second, crowded, 0.9)
+	assert.True(t, r.shed(9*time.Second))
 }
