Send mid-flow arrivals where most of the key's connections stand, past slow desk hosts

At fault: walk took the top score for all that keeps its connection, whatever we know. Now holds tells the likely holder: where most of the key's connections that we placed stand, past young desk hosts, and where none stand not at a slow one; else the top, as before.

Ruled out: descriptors (nobody was refused for them, the silent ones went), bad clients (none reached a desk host), memory.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -224,10 +224,10 @@
 		case why > cold && !guessesYield:
 			ends = min(ends, r.patient)
 		case eligible < why && why < cold:
-		case r.keeps() && b.young(now, s): // it holds what came since; any other resets a connection
-			top = cmp.Or(top, s)
-		case r.keeps(): // its holder is most likely the top
-			return s, 0
+		case r.keeps(): // any but its holder resets it
+			if top == nil || b.holds(now, s, r.hash) > b.holds(now, top, r.hash) {
+				top = s
+			}
 		case skip >= 0: // popular
 		case top == nil:
 			top = s
@@ -240,10 +240,23 @@
 	return top, ends
 }
 
-// young tells whether a server has started so lately that it holds little of what is open: connections last
-// for many seconds, and one that arrives mid-flow was placed by the list of its time.
-func (b *Balancer) young(now time.Duration, s *server) bool {
-	return s.Started > 0 && now-s.Started < lasting
+// holds tells how likely a server holds a connection of a key that arrives mid-flow. All siblings rank alike
+// and meet the same trouble, so most stand where most of those that we placed ourselves do; without any, at
+// the top. But hardly at one that is slow and shunned for it, or that started since: connections last for
+// many seconds, and were placed by the list of their time.
+func (b *Balancer) holds(now time.Duration, s *server, key uint32) (ours int) {
+	if s.Started > 0 && now-s.Started < lasting {
+		return -2
+	}
+	for _, c := range s.conns {
+		if c.hash == key && c.began && !c.midFlow {
+			ours++
+		}
+	}
+	if ours == 0 && b.slow(now, s) {
+		return -1
+	}
+	return ours
 }
 
 const lasting = 20 * time.Second // the least that a site's connections last on average
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -1105,3 +1105,27 @@
 		t.Errorf("%s got it, not the top of servers that are all young", got)
 	}
 }
+
+// Most of a key's connections stand where most of ours do; where none do, not at a server that is slow.
+func TestMidFlowGoesWhereMostOfItsKeyStand(t *testing.T) {
+	b, h := newBalancer(t, fleet(5))
+	ranked := ids(b, 7)
+	mid := func(id string, now time.Duration) string {
+		q := req(id, 7)
+		q.MidFlow = true
+		return send(t, b, h, now, q)
+	}
+	b.Delay(t0, ranked[0], 80*ms)
+	if got := mid("a", t0); got != ranked[1] {
+		t.Errorf("%s got it, not the next after the slow one", got)
+	}
+	later := t0 + 10*noteEvery
+	if got := mid("b", later); got != ranked[0] {
+		t.Errorf("%s got it, not the top", got)
+	}
+	b.Open(later, req("c", 7), ranked[2])
+	b.Open(later, req("other", 8), ranked[3])
+	if got := mid("d", later); got != ranked[2] {
+		t.Errorf("%s got it, not the one that holds one of the key", got)
+	}
+}
