--- a/internal/net/scenario_test.go
+++ b/internal/net/scenario_test.go
@@ -54,6 +54,7 @@
 	out     bytes.Buffer
 	source  *settings.Source
 	path    string
+	address string // of the node; its configuration belongs to its loop
 	known   string
 }
 
@@ -123,7 +124,7 @@
 		"MANY PINGS", strings.Repeat("PING\r\n", 20)).Replace(text)
 	switch verb {
 	case "connect":
-		c, err := stdnet.Dial("tcp", r.node.cfg.Listen)
+		c, err := stdnet.Dial("tcp", r.address)
 		if err != nil {
 			return err
 		}
@@ -244,8 +245,8 @@
 			`{"id":"s-%d","host_port":%q,"locality":"a","flavor":"m","cell":1,"phase":"in_service","size":1,"up_since_ms":0}`, i, address))
 	}
 	r.known = fmt.Sprintf(`{"revision":41,"complete":true,"members":[%s]}`, strings.Join(members, ","))
-	listen, first := r.free(), r.listen(r.pools)
-	env := map[string]string{"EDGE_LISTEN": listen, "EDGE_DISCOVERY": first}
+	r.address = r.free()
+	env := map[string]string{"EDGE_LISTEN": r.address, "EDGE_DISCOVERY": r.listen(r.pools)}
 	r.path = filepath.Join(r.t.TempDir(), "config.json")
 	env["EDGE_CONFIG"] = r.path
 	require.NoError(r.t, os.WriteFile(r.path, []byte(r.config()), 0o600))
