--- /dev/null
+++ b/internal/admin/admin.go
@@ -0,0 +1,79 @@
+// Package admin speaks with the operators at the second address: it reads one HTTP/1.1 call and writes its
+// answer, and the figures. It holds no socket.
+package admin
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"maps"
+	"net/http"
+	"slices"
+	"strings"
+
+	"tealtiller/internal/counters"
+)
+
+// The calls.
+const (
+	Health = "/admin/health"
+	Stats  = "/admin/stats"
+)
+
+// mostHead bounds the head of a call. Danger: one without an end would fill the memory.
+const mostHead = 4 << 10
+
+// Parse reads a call. The status is 0 while its head is not whole, 200 for one of the calls, else what is wrong
+// with it. A body is not waited for: no call here has one.
+func Parse(buf []byte) (path string, status int) {
+	end := bytes.Index(buf, []byte("\r\n\r\n"))
+	switch {
+	case end > mostHead || end < 0 && len(buf) > mostHead:
+		return "", http.StatusRequestHeaderFieldsTooLarge
+	case end < 0:
+		return "", 0
+	}
+	call, err := http.ReadRequest(bufio.NewReader(bytes.NewReader(buf[:end+4])))
+	switch {
+	case err != nil || call.ProtoMajor != 1 || call.ProtoAtLeast(1, 1) && call.Host == "":
+		return "", http.StatusBadRequest
+	case call.URL.Path != Health && call.URL.Path != Stats:
+		return "", http.StatusNotFound
+	case call.Method != http.MethodGet:
+		return "", http.StatusMethodNotAllowed
+	}
+	return call.URL.Path, http.StatusOK
+}
+
+// Answer writes an answer, after which the connection ends.
+func Answer(status int, body string) []byte {
+	var allow string
+	if status == http.StatusMethodNotAllowed {
+		allow = "Allow: GET\r\n"
+	}
+	return fmt.Appendf(nil, "HTTP/1.1 %d %s\r\n%sContent-Type: text/plain; charset=utf-8\r\nContent-Length: %d\r\n"+
+		"Connection: close\r\n\r\n%s", status, http.StatusText(status), allow, len(body), body)
+}
+
+// Figures are what the operators read. Those of classes that are no longer in use stay: a count never goes back.
+type Figures struct {
+	Classes              map[string]counters.Ends
+	Attempts             int64 // written whole to desk hosts
+	Pending              int
+	Members, Unavailable int
+	Reloads, Refused     int64 // configurations taken in and turned down
+}
+
+// Text writes the figures, one a line, classes in order of their names.
+func (f Figures) Text() string {
+	var b strings.Builder
+	for _, class := range slices.Sorted(maps.Keys(f.Classes)) {
+		e := f.Classes[class]
+		fmt.Fprintf(&b, "svc.downstream_requests.%[1]s.completed:%[2]d|c\nsvc.downstream_requests.%[1]s.rejected:%[3]d|c\n"+
+			"svc.downstream_requests.%[1]s.failed:%[4]d|c\n", class, e.Completed, e.Rejected, e.Failed)
+	}
+	fmt.Fprintf(&b, "svc.upstream_requests:%d|c\nsvc.pending:%d|g\nsvc.members:%d|g\nsvc.members_unavailable:%d|g\n"+
+		"svc.config_reloads:%d|c\nsvc.config_reload_errors:%d|c\n",
+		f.Attempts, f.Pending, f.Members, f.Unavailable, f.Reloads, f.Refused)
+	return b.String()
+}
--- a/internal/counters/counters.go
+++ b/internal/counters/counters.go
@@ -11,6 +11,9 @@
 // Set counts by name. It belongs to the event loop.
 type Set map[string]int64
 
+// Ends counts how operations of a class have ended: brought up, refused, failed.
+type Ends struct{ Completed, Rejected, Failed int64 }
+
 // Add counts one.
 func (s Set) Add(name string) { s[name]++ }
 
--- a/internal/net/desk.go
+++ b/internal/net/desk.go
@@ -91,7 +91,10 @@
 		return gnet.Close
 	}
 	d.sent = true
-	d.node.write(c, d.front.opening.Forward(d.until-now))
+	d.node.write(c, d.front.opening.Forward(d.until-now)) // whole: a line fits a new connection's buffer
+	if d.conn != nil {
+		d.node.count.Add("route steps written")
+	}
 	return gnet.None
 }
 
--- a/internal/net/front.go
+++ b/internal/net/front.go
@@ -167,6 +167,7 @@
 	n.lastOpen = now
 	if !n.room(2) { // danger: a dial without a descriptor would look like an ill desk host
 		n.count.Add("operations refused: no descriptors")
+		n.table.Refused(o.Class)
 		f.busy(now, shortage)
 		return
 	}
@@ -229,7 +230,7 @@
 	if d == nil || !d.up {
 		if err := early(buf, f.node.buffered()); err != nil {
 			f.malformed(now, err)
-			f.node.table.Left(now, f.op)
+			f.node.table.Spoilt(now, f.op)
 		}
 		return
 	}
--- a/internal/net/node.go
+++ b/internal/net/node.go
@@ -47,9 +47,11 @@
 	pool      pool
 	delays    delays
 
-	connections int // of gnet, dialled and accepted
+	connections int // of gnet, dialled and accepted, but for callers
 	dialling    int // each has a descriptor, and for a moment its duplicate
 	halves      int
+	callers     []*caller // in order of their coming
+	admin       string    // the second address as the listener names it; empty without one
 
 	events   []func(now time.Duration)
 	busy     bool
@@ -112,9 +114,9 @@
 func (n *Node) reloaded(cfg settings.Config) {
 	n.count.Add("configurations taken in")
 	log.Printf("%s: configuration taken in, discovery at %s", n.cfg.Name, cfg.Discovery)
-	if cfg.Listen != n.cfg.Listen || cfg.Name != n.cfg.Name {
+	if cfg.Listen != n.cfg.Listen || cfg.Admin != n.cfg.Admin || cfg.Name != n.cfg.Name {
 		log.Printf("%s: another name or listening address needs a restart", n.cfg.Name)
-		cfg.Listen, cfg.Name = n.cfg.Listen, n.cfg.Name
+		cfg.Listen, cfg.Admin, cfg.Name = n.cfg.Listen, n.cfg.Admin, n.cfg.Name
 	}
 	n.adopt(cfg)
 	n.table.Adopt(cfg.Settings.Policy)
@@ -126,8 +128,17 @@
 // Run serves until the node has drained or its listener fails.
 func (n *Node) Run() error {
 	failed := make(chan error, 1)
+	addresses := []string{"tcp://" + n.cfg.Listen}
+	if n.cfg.Admin != "" {
+		at, err := stdnet.ResolveTCPAddr("tcp", n.cfg.Admin)
+		if err != nil {
+			return fmt.Errorf("second address: %w", err)
+		}
+		n.admin = at.String()
+		addresses = append(addresses, "tcp://"+n.cfg.Admin)
+	}
 	go func() {
-		failed <- gnet.Run(n, "tcp://"+n.cfg.Listen, gnet.WithNumEventLoop(1), gnet.WithReuseAddr(true),
+		failed <- gnet.Rotate(n, addresses, gnet.WithNumEventLoop(1), gnet.WithReuseAddr(true),
 			gnet.WithTicker(true), gnet.WithReusePort(true)) // accepts on the loop: see room
 	}()
 	select {
@@ -258,14 +269,17 @@
 		return nil, gnet.Close
 	}
 	s, ok := c.Context().(socket)
-	if !ok {
-		s = newFront(n)
-		c.SetContext(s)
-	}
-	n.connections++
-	if ok {
+	switch {
+	case ok:
+		n.connections++
 		n.dialling--
+	case n.admin != "" && c.LocalAddr().String() == n.admin:
+		s = &caller{node: n}
+	default:
+		n.connections++
+		s = newFront(n)
 	}
+	c.SetContext(s)
 	action := gnet.None
 	n.do(func(now time.Duration) { action = s.opened(now, c) })
 	return nil, action
@@ -285,7 +299,9 @@
 	if _, isBell := c.Context().(bell); !ok || isBell {
 		return gnet.None
 	}
-	n.connections--
+	if _, calls := s.(*caller); !calls {
+		n.connections--
+	}
 	reset := err != nil && !errors.Is(err, io.EOF)
 	s.detach(reset)
 	n.do(func(now time.Duration) { s.closed(now, reset) })
@@ -304,7 +320,7 @@
 }
 
 // own is how many descriptors are neither a front socket's nor a desk host's: the standard streams, pollers,
-// the listener, discovery, a configuration that is being read.
+// the listeners, discovery, a configuration that is being read. Callers have theirs besides.
 const own = 24
 
 // room sees to it that so many more descriptors may be opened. Where they are short, the front socket goes
@@ -313,7 +329,11 @@
 // Danger: a listener that finds no descriptor ends the whole event loop, and so it would if another goroutine
 // accepted hundreds before the loop had a chance to count them.
 func (n *Node) room(more int) bool {
-	for n.cfg.Sockets > 0 && n.connections+2*n.dialling+n.halves+more > n.cfg.Sockets-own {
+	most := n.cfg.Sockets - own
+	if n.admin != "" {
+		most -= mostCallers
+	}
+	for n.cfg.Sockets > 0 && n.connections+2*n.dialling+n.halves+more > most {
 		var silent *front
 		for _, f := range n.fronts.All() {
 			if f.conn != nil && (!f.taken || f.linger) && (silent == nil || f.since < silent.since) {
@@ -366,7 +386,10 @@
 	<-done
 }
 
-func (n *Node) report() { _, _ = n.count.WriteTo(n.out) }
+func (n *Node) report() {
+	_, _ = n.count.WriteTo(n.out)
+	_, _ = io.WriteString(n.out, n.figures(n.now()).Text())
+}
 
 // settled is how long no OPEN must have come before a draining node stops; clients keep coming for up to
 // 0.4 s after the signal.
--- a/internal/operation/operation.go
+++ b/internal/operation/operation.go
@@ -4,6 +4,7 @@
 package operation
 
 import (
+	"maps"
 	"strconv"
 	"time"
 
@@ -38,6 +39,7 @@
 	count     counters.Set
 	ops       slot.Table[*operation]
 	open      map[string]slot.ID // by the client's id
+	ends      map[string]counters.Ends
 	queue     []func(now time.Duration)
 	now       time.Duration
 }
@@ -46,6 +48,7 @@
 	id       slot.ID
 	name     string // as the module knows it
 	client   string // as the client calls it; empty where it has no id
+	class    string // as it was when taken
 	owner    slot.ID
 	out      bool // a route step is out
 	stands   bool
@@ -56,7 +59,8 @@
 
 // New makes an empty table with a module that starts from nothing.
 func New(set policy.Settings, seed uint64, carrier Carrier, q *deadline.Queue, count counters.Set) *Table {
-	t := &Table{carrier: carrier, deadlines: q, count: count, open: map[string]slot.ID{}}
+	t := &Table{carrier: carrier, deadlines: q, count: count, open: map[string]slot.ID{},
+		ends: map[string]counters.Ends{}}
 	t.module = policy.New(set, seed, host{t})
 	return t
 }
@@ -67,6 +71,42 @@
 // Len is how many operations there are, standing connections included.
 func (t *Table) Len() int { return t.ops.Len() }
 
+// Ends counts the final answers by class, also of classes that are no longer in use.
+func (t *Table) Ends() map[string]counters.Ends { return maps.Clone(t.ends) }
+
+type final int
+
+const (
+	completed final = iota
+	rejected
+	failed
+)
+
+// answered notes the one final answer of an operation; all come by here, so that each is counted once.
+func (t *Table) answered(op *operation, how final) {
+	op.answered = true
+	t.counted(op.class, how)
+}
+
+func (t *Table) counted(class string, how final) {
+	e := t.ends[class]
+	switch how {
+	case completed:
+		e.Completed++
+	case rejected:
+		e.Rejected++
+	case failed:
+		e.Failed++
+	}
+	t.ends[class] = e
+}
+
+// Refused tells that the carrier refused a client's request which it did not give in.
+func (t *Table) Refused(class string) { t.counted(class, rejected) }
+
+// Listed is how many servers the list names, and how many of them the module avoids now.
+func (t *Table) Listed(now time.Duration) (listed, avoided int) { return t.module.Listed(now) }
+
 // Owed is how many operations still wait for their final answer.
 func (t *Table) Owed() (n int) {
 	for _, op := range t.ops.All() {
@@ -84,11 +124,11 @@
 	return ok
 }
 
-func (t *Table) add(owner slot.ID, client string) *operation {
-	op := &operation{owner: owner, client: client}
+func (t *Table) add(owner slot.ID, q policy.Request) *operation {
+	op := &operation{owner: owner, client: q.ID, class: q.Class}
 	op.id = t.ops.Add(op)
-	if client != "" {
-		t.open[client] = op.id
+	if q.ID != "" {
+		t.open[q.ID] = op.id
 	}
 	op.name = strconv.FormatUint(uint64(op.id), 16)
 	return op
@@ -106,7 +146,7 @@
 // Take takes a client's request, under the client's own id, which must not be open; what the module does with
 // it is carried out before this returns.
 func (t *Table) Take(now time.Duration, owner slot.ID, q policy.Request) slot.ID {
-	op := t.add(owner, q.ID)
+	op := t.add(owner, q)
 	q.ID, t.now = op.name, now
 	t.module.Request(now, q)
 	t.settle()
@@ -115,7 +155,7 @@
 
 // Hand takes a connection that stands at a desk host already; its first route step goes there.
 func (t *Table) Hand(now time.Duration, owner slot.ID, q policy.Request, server string) slot.ID {
-	op := t.add(owner, q.ID)
+	op := t.add(owner, q)
 	q.ID, t.now, op.handed = op.name, now, true
 	t.module.Open(now, q, server)
 	t.begin(op, server, q.TTL)
@@ -131,7 +171,8 @@
 	}
 	t.now = now
 	t.deadlines.Stop(op.until)
-	op.stands, op.answered = true, true
+	op.stands = true
+	t.answered(op, completed)
 	t.module.First(now, op.name)
 	t.settle()
 }
@@ -145,6 +186,14 @@
 	}
 }
 
+// Spoilt tells that the client broke the protocol, for which the carrier has answered it.
+func (t *Table) Spoilt(now time.Duration, id slot.ID) {
+	if op, ok := t.ops.Get(id); ok && !op.answered {
+		t.counted(op.class, failed)
+	}
+	t.Left(now, id)
+}
+
 // Left tells that the client has gone. A connection that stood has ended with it.
 func (t *Table) Left(now time.Duration, id slot.ID) {
 	op, ok := t.ops.Get(id)
@@ -243,6 +292,7 @@
 	over := op.answered || result == policy.OK
 	if !over && op.handed { // no other desk host can go on with it
 		over = true
+		t.answered(op, failed)
 		t.carrier.Failed(op.owner)
 	}
 	if over {
@@ -273,16 +323,16 @@
 }
 
 func (h host) Refuse(request string, retryAfter time.Duration) {
-	h.answer(request, func(op *operation) { h.carrier.Busy(op.owner, retryAfter) })
+	h.answer(request, rejected, func(op *operation) { h.carrier.Busy(op.owner, retryAfter) })
 }
 
 func (h host) Fail(request string) {
-	h.answer(request, func(op *operation) { h.carrier.Failed(op.owner) })
+	h.answer(request, failed, func(op *operation) { h.carrier.Failed(op.owner) })
 }
 
-func (h host) answer(request string, say func(*operation)) {
+func (h host) answer(request string, how final, say func(*operation)) {
 	if op := h.find(request); op != nil && !op.answered {
-		op.answered = true
+		h.answered(op, how)
 		say(op)
 		if !op.out {
 			h.remove(op)
--- a/internal/operation/operation_test.go
+++ b/internal/operation/operation_test.go
@@ -181,3 +181,28 @@
 	host{b.Table}.Move(op.name) // does not stand
 	assert.Empty(t, b.takeTold())
 }
+
+// Operators compare the figures with what clients saw: each final answer counts once, under the class as it was
+// when taken, whatever comes after it; what a client abandoned has none.
+func TestEachFinalAnswerIsCountedOnce(t *testing.T) {
+	b := newBench("s")
+	up := take(b, 1)
+	b.Up(t0, up)
+	b.Up(t0, up)
+	b.Adopt(policy.Settings{MaxAttempts: 6, Tick: time.Millisecond}) // its class vanishes
+	b.Ended(t0, up, policy.Reset)
+	assert.Equal(t, map[string]counters.Ends{"c": {Completed: 1}}, b.Ends())
+	b.Left(t0, take(b, 2))
+	refused := take(b, 3)
+	b.Ended(t0, refused, policy.TurnedAway)
+	b.Left(t0, refused)
+	b.Refused("c")
+	assert.Equal(t, counters.Ends{Completed: 1, Rejected: 2}, b.Ends()["c"])
+	spoilt := take(b, 4)
+	b.Spoilt(t0, spoilt)
+	b.Spoilt(t0, spoilt)
+	b.Hand(t0, 5, policy.Request{Class: "d", TTL: time.Second}, "s")
+	b.Ended(t0, b.Hand(t0, 6, policy.Request{Class: "d", TTL: time.Second}, "s"), policy.ConnectFailed)
+	assert.Equal(t, counters.Ends{Completed: 1, Rejected: 2, Failed: 1}, b.Ends()["c"])
+	assert.Equal(t, counters.Ends{Failed: 1}, b.Ends()["d"])
+}
--- a/internal/settings/config.go
+++ b/internal/settings/config.go
@@ -12,6 +12,7 @@
 // Config is what a balancer on sockets is told at its start.
 type Config struct {
 	Name, Listen, Discovery string
+	Admin                   string // the second address, for operators; there may be none
 	Seed                    uint64
 	MemoryMB                int64
 	Sockets                 int
@@ -45,6 +46,9 @@
 	case !s.loaded && told != "":
 		c.Discovery = told
 	}
+	if c.Admin == c.Listen && c.Admin != "" {
+		return Config{}, errors.New("configuration: the second address is the one of the clients")
+	}
 	if c.Listen == "" || c.Discovery == "" {
 		return Config{}, errors.New("configuration: no address to listen on, or none of discovery")
 	}
@@ -65,7 +69,8 @@
 	if err != nil {
 		return Config{}, err
 	}
-	for name, field := range map[string]*string{"EDGE_NAME": &c.Name, "EDGE_LISTEN": &c.Listen} {
+	for name, field := range map[string]*string{"EDGE_NAME": &c.Name, "EDGE_LISTEN": &c.Listen,
+		"EDGE_ADMIN_ADDR": &c.Admin} {
 		if value := getenv(name); value != "" {
 			*field = value
 		}
@@ -86,6 +91,8 @@
 			c.Listen = l.String()
 		case "discovery":
 			c.Discovery = l.String()
+		case "admin_addr":
+			c.Admin = l.String()
 		case "seed":
 			seed, err := strconv.ParseUint(l.String(), 16, 64)
 			if err != nil {
--- a/policy/list_test.go
+++ b/policy/list_test.go
@@ -231,3 +231,15 @@
 		}
 	}
 }
+
+// Operators are told how many servers the list names and how many are avoided, draining and doubted ones.
+func TestListedAndAvoided(t *testing.T) {
+	servers := fleet(5)
+	b, _ := newBalancer(t, servers)
+	servers[0].State, servers[1].State = Draining, Gone
+	b.Members(t0+ms, Delta, servers[:2])
+	b.strike(t0+ms, b.server(servers[2].ID))
+	if listed, avoided := b.Listed(t0 + 2*ms); listed != 4 || avoided != 2 {
+		t.Errorf("listed %d, avoided %d", listed, avoided)
+	}
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -687,6 +687,19 @@
 // list took to be right again. Danger: ever new names fill the memory, so each rememberedMost halve it.
 const remembered, rememberedMost = 10 * time.Minute, 1024
 
+// Listed is how many servers the list names, and how many of them are avoided now.
+func (b *Balancer) Listed(now time.Duration) (listed, avoided int) {
+	for _, s := range b.list {
+		if s.State == Gone {
+			continue
+		}
+		if listed++; s.State == Draining || b.fails(now, s) || b.alike(s) {
+			avoided++
+		}
+	}
+	return listed, avoided
+}
+
 // forget drops servers that are gone: at once where that binds, else when their memory has ended.
 func (b *Balancer) forget(now time.Duration) {
 	gone := func(s *server) bool { return s.State == Gone }
