Ask for the whole list at the start, so that a fresh process knows it within a moment

Its log shows the new process listening at once; its first call to discovery was a watch, which discovery answers only when something changes or after 8 s. Ruled out: the listener (up after 1 ms, SO_REUSEPORT was set) and the second address. At fault: NewNode made its poolconfig.Client with the revision of the list known, which may be old as well.

--- a/internal/net/node.go
+++ b/internal/net/node.go
@@ -77,7 +77,7 @@
 	n := &Node{cfg: cfg, known: known, out: out, origin: time.Now(), count: counters.Set{},
 		addresses: map[string]netip.AddrPort{}, booted: make(chan struct{}), stopped: make(chan struct{}), silence: silence,
 		patience: mostSilent}
-	n.pool = pool{node: n, address: cfg.Discovery, client: poolconfig.NewClient(cfg.Discovery, known.Revision)}
+	n.pool = pool{node: n, address: cfg.Discovery, client: poolconfig.NewClient(cfg.Discovery, poolconfig.None)}
 	n.delays = newDelays()
 	n.adopt(cfg)
 	return n
--- a/internal/net/scenario_test.go
+++ b/internal/net/scenario_test.go
@@ -34,7 +34,7 @@
 //	NAME expect PATTERN     reads a line; * stands for anything
 //	NAME wait fin|reset     waits until the other side has ended the connection, reading what is left
 //	NAME close|half|reset   ends the connection, its sending, or by a reset
-//	NAME answer BODY        sends an HTTP answer
+//	NAME answer BODY        sends an HTTP answer; KNOWN stands for the list in the configuration
 //	stop                    tells the node to drain
 //	reload move             replaces the configuration by one that names another discovery, and reloads it
 //	reload same             the same, with discovery where it is
@@ -130,7 +130,7 @@
 		p = &peer{}
 		r.peers[who] = p
 	}
-	text = strings.NewReplacer(`\r`, "\r", `\n`, "\n", "LONG", strings.Repeat("x", 5000),
+	text = strings.NewReplacer("KNOWN", r.known, `\r`, "\r", `\n`, "\n", "LONG", strings.Repeat("x", 5000),
 		"MANY PINGS", strings.Repeat("PING\r\n", 20)).Replace(text)
 	switch verb {
 	case "connect":
