Hand over to a new version all that stands, with nobody noticing

So one process leads and the other passes on, descriptor and all, each client that reaches it: the new one before it leads, the old one after. The old one ends its listener right after it has found its accept queue empty (TCP_INFO), which is the only moment in which a client could still be reset.

Besides as designed: connections with both descriptors and what had been read of them (inbound.kept), fronts that have opened nothing with the time they have been silent, shares of the descriptors, half of the memory each, cold budgets taken as spent (policy.Succeed). gnet's own log now goes into ours, without its stack traces.

Scenarios: a takeover in the midst of lines, attempts and first lines, one after the other; a stale socket; a new process that dies.

--- a/cmd/tealtiller/main.go
+++ b/cmd/tealtiller/main.go
@@ -40,7 +40,7 @@
 	// The loop sits in a system call most of the time. With one processor for Go code, what it wakes would
 	// wait until the runtime's monitor takes that processor away from it.
 	runtime.GOMAXPROCS(4)
-	node := net.NewNode(cfg, known, os.Stderr)
+	node := net.NewNode(cfg, known, os.Stderr, os.Getenv("TMPDIR"))
 	go func() {
 		for s := range signals {
 			switch s {
--- /dev/null
+++ b/internal/handover/handover_test.go
@@ -0,0 +1,46 @@
+package handover
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+var messages = []Message{
+	{Kind: Room, Number: 384, Opening: []byte{}, FromClient: []byte{}, FromDesk: []byte{}},
+	{Kind: Lead, Opening: []byte{}, FromClient: []byte{}, FromDesk: []byte{}},
+	{Kind: Front, Opening: []byte{}, FromClient: []byte("OPEN 1"), FromDesk: []byte{}},
+	{Kind: Stand, Server: "s-1 b", Opening: []byte("OPEN 1 a c=x,d=1\r\n"), FromClient: []byte("ha\n"), FromDesk: []byte("l")},
+}
+
+func TestMessagesArriveAsSent(t *testing.T) {
+	for _, m := range messages {
+		got, err := Parse(m.Append(nil))
+		require.NoError(t, err)
+		assert.Equal(t, m, got)
+	}
+	assert.Equal(t, 2, messages[3].Files())
+}
+
+// A process of another version, or something else, may speak: what makes no sense is no message.
+func TestWhatIsNoMessage(t *testing.T) {
+	for _, text := range []string{"", "room 1 0 0 0 ", "room 1 0 0 0\n", "room -1 0 0 0 \n", "room x 0 0 0 \n", "stop 0 0 0 0 \n",
+		"front 0 0 5 0 \nabc", "front 0 0 -1 0 \nabc", "front 0 0 2 0 \nabc", "stand 0 9223372036854775807 9 9 s\n"} {
+		_, err := Parse([]byte(text))
+		assert.Error(t, err, text)
+	}
+}
+
+func FuzzParse(f *testing.F) {
+	for _, m := range messages {
+		f.Add(m.Append(nil))
+	}
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		if m, err := Parse(raw); err == nil {
+			again, err := Parse(m.Append(nil))
+			require.NoError(t, err)
+			assert.Equal(t, m, again)
+		}
+	})
+}
--- a/internal/line/line.go
+++ b/internal/line/line.go
@@ -196,6 +196,9 @@
 	return n, nil
 }
 
+// Text is the line as it came.
+func (o *Opening) Text() []byte { return o.text }
+
 // Forward is the line as it came, but for how long the sender will wait: at least a millisecond.
 func (o *Opening) Forward(wait time.Duration) []byte {
 	out := append([]byte(nil), o.text[:o.from]...)
--- a/internal/net/desk.go
+++ b/internal/net/desk.go
@@ -16,13 +16,13 @@
 
 // desk is the socket of one route step, and of the connection that it brought up.
 type desk struct {
-	node    *Node
-	id      slot.ID
-	front   *front
-	server  string
-	until   time.Duration
-	cancel  context.CancelFunc // of the dialling
-	conn    gnet.Conn
+	node   *Node
+	id     slot.ID
+	front  *front
+	server string
+	until  time.Duration
+	cancel context.CancelFunc // of the dialling
+	inbound
 	sent    bool // the first line is written
 	up      bool
 	upAt    time.Duration
@@ -60,21 +60,27 @@
 func (n *Node) dial(ctx context.Context, s socket, address string) {
 	n.dialling++
 	go func() {
-		if err := n.enroll(ctx, s, address); err != nil {
-			n.post(func(now time.Duration) {
-				n.dialling--
-				s.closed(now, false)
-			})
+		dialer := stdnet.Dialer{KeepAlive: -1}
+		c, err := dialer.DialContext(ctx, "tcp", address)
+		if err == nil {
+			err = n.enroll(s, c)
+		}
+		if err != nil {
+			n.lost(s)
 		}
 	}()
 }
 
-func (n *Node) enroll(ctx context.Context, s socket, address string) error {
-	dialer := stdnet.Dialer{KeepAlive: -1}
-	c, err := dialer.DialContext(ctx, "tcp", address)
-	if err != nil {
-		return err
-	}
+// lost tells a socket that was counted as dialling that it has no connection.
+func (n *Node) lost(s socket) {
+	n.post(func(now time.Duration) {
+		n.dialling--
+		s.closed(now, false)
+	})
+}
+
+// enroll brings a connection to the loop, which tells the socket of it by opened.
+func (n *Node) enroll(s socket, c stdnet.Conn) error {
 	done, err := n.loop.Enroll(gnet.NewContext(context.Background(), s), c)
 	if err != nil {
 		_ = c.Close()
@@ -90,6 +96,11 @@
 	if d.over {
 		return gnet.Close
 	}
+	if d.up { // it stood in another process
+		d.traffic(now)
+		d.front.traffic(now)
+		return gnet.None
+	}
 	d.sent = true
 	d.node.write(c, d.front.opening.Forward(d.until-now)) // whole: a line fits a new connection's buffer
 	if d.conn != nil {
@@ -101,7 +112,7 @@
 // traffic reads what the desk host answers, and passes on whole lines once the connection stands.
 func (d *desk) traffic(now time.Duration) {
 	for d.conn != nil && !d.over {
-		buf, _ := d.conn.Peek(-1)
+		buf := d.peek()
 		text, err := line.Cut(buf)
 		if err != nil {
 			d.node.count.Add("desk hosts cut off: line too long")
@@ -117,7 +128,7 @@
 		}
 		d.answered(now, text)
 		if d.conn != nil {
-			_, _ = d.conn.Discard(len(text))
+			d.discard(len(text))
 		}
 	}
 }
@@ -172,7 +183,7 @@
 	}
 	f.pass(now, buf[:end])
 	if d.conn != nil {
-		_, _ = d.conn.Discard(end)
+		d.discard(end)
 	}
 }
 
--- a/internal/net/front.go
+++ b/internal/net/front.go
@@ -16,9 +16,9 @@
 
 // front is the client's side of an operation.
 type front struct {
-	node    *Node
-	id      slot.ID
-	conn    gnet.Conn // nil once closed
+	node *Node
+	id   slot.ID
+	inbound
 	op      slot.ID
 	opening line.Opening
 	taken   bool // its OPEN came: lines that follow wait for UP
@@ -27,6 +27,7 @@
 	linger  bool
 	half    *half              // the client has ended its sending only
 	since   time.Duration      // silent since: it came, was last answered, or we have said our last
+	waited  time.Duration      // silent before it came to this process
 	limit   *deadline.Deadline // of its silence
 }
 
@@ -38,6 +39,15 @@
 
 func (f *front) opened(now time.Duration, c gnet.Conn) gnet.Action {
 	f.node.count.Add("front sockets accepted")
+	f.conn = c
+	if f.taken { // it stands: its desk host's socket follows
+		return gnet.None
+	}
+	f.since = now - f.waited
+	if !f.node.leading && f.passOn(now) {
+		return gnet.Close
+	}
+	f.conn = nil // not to be dropped for its own sake
 	enough := f.node.room(0)
 	f.conn = c
 	if !enough {
@@ -46,7 +56,8 @@
 		f.say(f.node.busyLine(shortage))
 		return gnet.Close
 	}
-	f.silent(now, f.node.patience, "ERR no request in time\r\n")
+	f.silent(now, f.node.patience-f.waited, "ERR no request in time\r\n")
+	f.traffic(now)
 	return gnet.None
 }
 
@@ -75,16 +86,16 @@
 // traffic reads lines until the first that must wait.
 func (f *front) traffic(now time.Duration) {
 	commands := 0
-	for f.conn != nil && f.conn.InboundBuffered() > 0 {
+	for f.conn != nil && f.buffered() > 0 {
 		if f.ending {
-			_, _ = f.conn.Discard(-1)
+			f.discard(-1)
 			return
 		}
 		if f.taken {
 			f.relay(now)
 			return
 		}
-		buf, _ := f.conn.Peek(-1)
+		buf := f.peek()
 		text, err := line.Cut(buf)
 		if err != nil {
 			f.malformed(now, err)
@@ -99,7 +110,7 @@
 		}
 		f.first(now, text)
 		if f.conn != nil {
-			_, _ = f.conn.Discard(len(text))
+			f.discard(len(text))
 		}
 	}
 }
@@ -174,11 +185,7 @@
 	}
 	n.deadlines.Stop(f.limit)
 	n.count.Add("operations taken")
-	q := policy.Request{ID: o.ID, Class: o.Class, Key: o.Key, HasKey: true, TTL: max(o.Wait-margin, 0),
-		MidFlow: o.MidFlow, Returned: o.Returned}
-	if n.cfg.Settings.Groups && o.HasGroup {
-		q.Key = o.Group
-	}
+	q := n.request(o)
 	// The number of an operation is known only when it has been taken, yet its first route step or answer
 	// comes before that; it finds this front by its own number.
 	if o.At != "" {
@@ -192,6 +199,16 @@
 	f.op = n.table.Take(now, f.id, q)
 }
 
+// request is an opening as the module takes it.
+func (n *Node) request(o line.Opening) policy.Request {
+	q := policy.Request{ID: o.ID, Class: o.Class, Key: o.Key, HasKey: true, TTL: max(o.Wait-margin, 0),
+		MidFlow: o.MidFlow, Returned: o.Returned}
+	if n.cfg.Settings.Groups && o.HasGroup {
+		q.Key = o.Group
+	}
+	return q
+}
+
 // say writes a line of our own.
 func (f *front) say(text string) { f.node.write(f.conn, []byte(text)) }
 
@@ -227,7 +244,10 @@
 // relay passes whole lines on to the desk host once the connection stands.
 func (f *front) relay(now time.Duration) {
 	d := f.desk
-	buf, _ := f.conn.Peek(-1)
+	if d != nil && d.up && d.conn == nil {
+		return // its socket is on its way here
+	}
+	buf := f.peek()
 	if d == nil || !d.up {
 		if err := early(buf, f.node.buffered()); err != nil {
 			f.malformed(now, err)
@@ -255,7 +275,7 @@
 	d.asked(now)
 	f.node.write(d.conn, buf[:end])
 	if f.conn != nil {
-		_, _ = f.conn.Discard(end)
+		f.discard(end)
 	}
 }
 
--- a/internal/net/node.go
+++ b/internal/net/node.go
@@ -4,6 +4,7 @@
 package net
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -41,12 +42,18 @@
 	table     *operation.Table
 	deadlines deadline.Queue
 	count     counters.Set
+	folder    string // that the processes of this balancer share
 	fronts    slot.Table[*front]
 	desks     slot.Table[*desk]
 	addresses map[string]netip.AddrPort
 	pool      pool
 	delays    delays
 
+	link     *link // to the other process of this balancer, while there are two
+	leading  bool  // the clients are ours
+	share    int   // how many descriptors are ours while there are two
+	awaiting io.Closer
+
 	connections int // of gnet, dialled and accepted, but for callers
 	dialling    int // each has a descriptor, and for a moment its duplicate
 	halves      int
@@ -60,6 +67,7 @@
 	stopping bool
 	lastOpen time.Duration // when the last OPEN came
 	stopped  chan struct{}
+	last     *link         // the one whose messages must be written before the process ends
 	silence  time.Duration // how long a client's line may stay unanswered
 	patience time.Duration // how long a front socket may go without a whole command
 }
@@ -72,9 +80,10 @@
 	closed(now time.Duration, reset bool)
 }
 
-// NewNode makes a balancer that writes its counters to out.
-func NewNode(cfg settings.Config, known *poolconfig.List, out io.Writer) *Node {
-	n := &Node{cfg: cfg, known: known, out: out, origin: time.Now(), count: counters.Set{},
+// NewNode makes a balancer that writes its counters to out. In the folder it meets the process that served before
+// it, or the one that comes after it; there may be none.
+func NewNode(cfg settings.Config, known *poolconfig.List, out io.Writer, folder string) *Node {
+	n := &Node{cfg: cfg, known: known, out: out, folder: folder, leading: true, origin: time.Now(), count: counters.Set{},
 		addresses: map[string]netip.AddrPort{}, booted: make(chan struct{}), stopped: make(chan struct{}), silence: silence,
 		patience: mostSilent}
 	n.pool = pool{node: n, address: cfg.Discovery, client: poolconfig.NewClient(cfg.Discovery, poolconfig.None)}
@@ -87,8 +96,17 @@
 func (n *Node) adopt(cfg settings.Config) {
 	n.cfg = cfg
 	n.delays.aims(cfg.Settings.Policy)
-	if cfg.MemoryMB > 0 {
-		debug.SetMemoryLimit(cfg.MemoryMB << 20 * 3 / 4)
+	n.limitMemory()
+}
+
+// limitMemory leaves a quarter for what the Go runtime does not count. Two processes have half each.
+func (n *Node) limitMemory() {
+	limit := n.cfg.MemoryMB << 20 * 3 / 4
+	if n.link != nil {
+		limit /= 2
+	}
+	if limit > 0 {
+		debug.SetMemoryLimit(limit)
 	}
 }
 
@@ -130,6 +148,7 @@
 // Run serves until the node has drained or its listener fails.
 func (n *Node) Run() error {
 	failed := make(chan error, 1)
+	n.join()
 	addresses := []string{"tcp://" + n.cfg.Listen}
 	if n.cfg.Admin != "" {
 		at, err := stdnet.ResolveTCPAddr("tcp", n.cfg.Admin)
@@ -141,19 +160,43 @@
 	}
 	go func() {
 		failed <- gnet.Rotate(n, addresses, gnet.WithNumEventLoop(1), gnet.WithReuseAddr(true),
-			gnet.WithTicker(true), gnet.WithReusePort(true)) // accepts on the loop: see room
+			gnet.WithTicker(true), gnet.WithReusePort(true), // accepts on the loop: see room
+			gnet.WithLogger(gnetLog{n.cfg.Name, n.stopped}))
 	}()
+	var err error
 	select {
 	case <-n.stopped:
-		return nil
-	case err := <-failed:
-		if err == nil {
-			err = errors.New("the event loop ended")
+	case err = <-failed:
+	}
+	select {
+	case <-n.stopped: // which ends the listener and with it the loop
+		if n.last != nil {
+			<-n.last.flushed
 		}
-		return err
+		return nil
+	default:
 	}
+	return cmp.Or(err, errors.New("the event loop ended"))
 }
 
+// gnetLog puts what gnet complains of into our log, until the node ends its listener, of which gnet complains too.
+type gnetLog struct {
+	name    string
+	stopped <-chan struct{}
+}
+
+func (l gnetLog) Debugf(string, ...any) {}
+func (l gnetLog) Infof(string, ...any)  {}
+func (l gnetLog) Warnf(string, ...any)  {} // of connections that we have closed meanwhile
+func (l gnetLog) Errorf(format string, args ...any) {
+	select {
+	case <-l.stopped:
+	default:
+		log.Printf(l.name+": gnet: "+format, args...)
+	}
+}
+func (l gnetLog) Fatalf(format string, args ...any) { l.Errorf(format, args...) }
+
 // OnBoot keeps the engine.
 func (n *Node) OnBoot(e gnet.Engine) gnet.Action {
 	n.engine = e
@@ -331,11 +374,7 @@
 // Danger: a listener that finds no descriptor ends the whole event loop, and so it would if another goroutine
 // accepted hundreds before the loop had a chance to count them.
 func (n *Node) room(more int) bool {
-	most := n.cfg.Sockets - own
-	if n.admin != "" {
-		most -= mostCallers
-	}
-	for n.cfg.Sockets > 0 && n.connections+2*n.dialling+n.halves+more > most {
+	for n.cfg.Sockets > 0 && n.left() < more {
 		var silent *front
 		for _, f := range n.fronts.All() {
 			if f.conn != nil && (!f.taken || f.linger) && (silent == nil || f.since < silent.since) {
@@ -352,6 +391,18 @@
 	return true
 }
 
+// left is how many descriptors may still be opened.
+func (n *Node) left() int {
+	most := n.cfg.Sockets
+	if n.link != nil {
+		most = n.share
+	}
+	if n.admin != "" {
+		most -= mostCallers
+	}
+	return most - own - n.connections - 2*n.dialling - n.halves
+}
+
 // buffered is how much may wait for one peer that does not read, or from one that must wait: of a quarter of
 // the memory its part, but two lines at the least.
 func (n *Node) buffered() int {
@@ -406,6 +457,7 @@
 		}
 		n.stopping, n.lastOpen = true, max(n.lastOpen, now)
 		log.Printf("%s: draining, %d operations", n.cfg.Name, n.table.Len())
+		n.stepBack()
 		n.drained(now, now+n.cfg.Settings.Deadline+settled)
 	})
 }
@@ -416,6 +468,14 @@
 // Danger: where packets pass through, our end is the end of what stands, and its clients would come again; as
 // long as we run it is carried on. Whoever stops us for good lets its packets reach another balancer.
 func (n *Node) drained(now, latest time.Duration) {
+	if n.link != nil && !n.leading { // the other process goes on with all that stands
+		if n.handOver(now) {
+			n.leave()
+			return
+		}
+		n.deadlines.Set(now+drainCheck, func(now time.Duration) { n.drained(now, latest) })
+		return
+	}
 	if !n.cfg.Settings.PassThrough {
 		for _, d := range n.desks.All() {
 			if d.up {
@@ -426,9 +486,20 @@
 	answered := n.table.Owed() == 0 && now-n.lastOpen >= settled
 	if n.cfg.Settings.PassThrough && answered && n.table.Len() == 0 ||
 		!n.cfg.Settings.PassThrough && (answered || now >= latest) {
-		n.report()
-		close(n.stopped)
+		n.leave()
 		return
 	}
 	n.deadlines.Set(now+drainCheck, func(now time.Duration) { n.drained(now, latest) })
 }
+
+// leave ends the process. Nobody waits at its listener.
+func (n *Node) leave() {
+	n.report()
+	if n.last = n.link; n.last != nil {
+		n.last.close()
+	}
+	close(n.stopped)
+	if n.last != nil {
+		n.shut()
+	}
+}
--- a/internal/net/scenario_test.go
+++ b/internal/net/scenario_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -25,7 +24,7 @@
 
 // A scenario is a file of lines that drive a real node against scripted peers, one step a line:
 //
-//	set KEY=VALUE           settings before the node starts: hosts, dead, mode, probing, discovery, sockets, silence, patience, admin;
+//	set KEY=VALUE           settings before the node starts: hosts, dead, mode, probing, discovery, sockets, silence, patience, admin, stale;
 //	                        tries and class, which the next reload brings in
 //	NAME connect            a client connects to the node
 //	NAME call PATH          an operator asks the node's second address; without a path it only connects
@@ -35,6 +34,9 @@
 //	NAME wait fin|reset     waits until the other side has ended the connection, reading what is left
 //	NAME close|half|reset   ends the connection, its sending, or by a reset
 //	NAME answer BODY        sends an HTTP answer; KNOWN stands for the list in the configuration
+//	beside                  starts a second node beside the first, at the same address
+//	kill                    ends the second one as if killed, and goes on with the first
+//	before STEP             a step of the first node, once there is a second: stop, wait exit, wait count
 //	stop                    tells the node to drain
 //	reload move             replaces the configuration by one that names another discovery, and reloads it
 //	reload same             the same, with discovery where it is
@@ -53,8 +55,9 @@
 	desks   chan stdnet.Conn
 	pools   chan stdnet.Conn
 	exited  chan error
+	before  *rig // of the first node, where there are two
+	folder  string
 	started bool
-	out     bytes.Buffer
 	source  *settings.Source
 	path    string
 	address string // of the node; its configuration belongs to its loop
@@ -100,6 +103,25 @@
 		r.start()
 	}
 	switch {
+	case who == "before":
+		return r.before.step(rest)
+	case who == "beside":
+		first := *r
+		r.before = &first
+		r.launch()
+		return nil
+	case who == "kill":
+		r.node.post(func(time.Duration) {
+			r.node.stopping = true // it awaits nobody
+			_ = r.node.link.conn.Close()
+		})
+		ctx, cancel := context.WithTimeout(context.Background(), limit)
+		defer cancel()
+		if err := r.node.engine.Stop(ctx); err != nil {
+			return err
+		}
+		r.node, r.exited, r.admin, r.before = r.before.node, r.before.exited, r.before.admin, nil
+		return nil
 	case who == "stop":
 		r.node.Drain()
 		return nil
@@ -264,13 +286,22 @@
 			`{"id":"s-%d","host_port":%q,"locality":"a","flavor":"m","cell":1,"phase":"in_service","size":1,"up_since_ms":0}`, i, address))
 	}
 	r.known = fmt.Sprintf(`{"revision":41,"complete":true,"members":[%s]}`, strings.Join(members, ","))
-	r.address = r.free()
+	r.address, r.pool = r.free(), r.listen(r.pools)
+	folder, err := os.MkdirTemp("", "node") // short: it holds a Unix socket
+	require.NoError(r.t, err)
+	r.folder = folder
+	r.t.Cleanup(func() { _ = os.RemoveAll(folder) })
+	r.launch()
+}
+
+// launch starts a node.
+func (r *rig) launch() {
 	env := map[string]string{"EDGE_LISTEN": r.address, "EDGE_DISCOVERY": r.listen(r.pools)}
 	if r.set["admin"] != "" {
 		r.admin = r.free()
 		env["EDGE_ADMIN_ADDR"] = r.admin
 	}
-	r.path, r.pool = filepath.Join(r.t.TempDir(), "config.json"), r.listen(r.pools)
+	r.path = filepath.Join(r.t.TempDir(), "config.json")
 	env["EDGE_CONFIG"] = r.path
 	require.NoError(r.t, os.WriteFile(r.path, []byte(r.config()), 0o600))
 	r.source = settings.NewSource(func(name string) string { return env[name] })
@@ -278,7 +309,7 @@
 	require.NoError(r.t, err)
 	list, err := poolconfig.Parse(cfg.Known)
 	require.NoError(r.t, err)
-	r.node, r.exited = NewNode(cfg, list, &r.out), make(chan error, 1)
+	r.node, r.exited = NewNode(cfg, list, io.Discard, r.folder), make(chan error, 1)
 	r.node.patience = limit // what a busy machine delays is no silence
 	for name, span := range map[string]*time.Duration{"silence": &r.node.silence, "patience": &r.node.patience} {
 		if s, ok := r.set[name]; ok {
@@ -286,12 +317,19 @@
 			require.NoError(r.t, err)
 		}
 	}
-	go func() { r.exited <- r.node.Run() }()
-	require.NoError(r.t, r.within(func() error { <-r.node.booted; return nil }))
+	if r.set["stale"] != "" && r.before == nil { // as a killed process leaves it
+		l, err := stdnet.ListenUnix("unixpacket", &stdnet.UnixAddr{Name: r.node.rendezvous(), Net: "unixpacket"})
+		require.NoError(r.t, err)
+		l.SetUnlinkOnClose(false)
+		require.NoError(r.t, l.Close())
+	}
+	node, exited := r.node, r.exited
+	go func() { exited <- node.Run() }()
+	require.NoError(r.t, r.within(func() error { <-node.booted; return nil }))
 	r.t.Cleanup(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), limit)
 		defer cancel()
-		_ = r.node.engine.Stop(ctx)
+		_ = node.engine.Stop(ctx)
 		for _, p := range r.peers {
 			if p.TCPConn != nil {
 				_ = p.Close()
--- a/internal/operation/operation_test.go
+++ b/internal/operation/operation_test.go
@@ -206,3 +206,23 @@
 	assert.Equal(t, counters.Ends{Completed: 1, Rejected: 2, Failed: 1}, b.Ends()["c"])
 	assert.Equal(t, counters.Ends{Failed: 1}, b.Ends()["d"])
 }
+
+// What stood in another process of this balancer counts here as ours, and no more there; its answer was counted there.
+func TestWhatStandsChangesHands(t *testing.T) {
+	old, b := newBench("s"), newBench("s")
+	id := take(old, 1)
+	old.Release(t0, id)
+	assert.Equal(t, 1, old.Len(), "nothing stands yet")
+	old.Up(t0, id)
+	old.Release(t0, id)
+	old.Release(t0, id)
+	assert.Zero(t, old.Len())
+	id = b.Inherit(t0, 7, policy.Request{ID: "x", Class: "c", Key: 5, HasKey: true}, "s")
+	assert.Equal(t, 1, b.Len())
+	assert.Zero(t, b.Owed())
+	assert.True(t, b.Open("x"))
+	assert.Empty(t, b.Ends())
+	b.Ended(t0, id, policy.OK)
+	assert.Zero(t, b.Len())
+	assert.Empty(t, b.takeTold())
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -403,6 +403,15 @@
 	return s.budget > 0 || b.keys[r.hash] <= 1 && s.luck < w && r.attempts == 0 && now-b.roomAt >= b.set.Fall
 }
 
+// Succeed takes over from another process of this balancer. Danger: that one may just have spent what there
+// was for cold servers.
+func (b *Balancer) Succeed(now time.Duration) {
+	b.roomAt = now
+	for _, s := range b.list {
+		s.budget, s.drawn = 0, now
+	}
+}
+
 // usual is how many of our connections a server of size 1 bears when warm; at least our part of one.
 func (b *Balancer) usual(now time.Duration) float64 {
 	if now-b.usualAt >= b.set.Fall {
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -1129,3 +1129,20 @@
 		t.Errorf("%s got it, not the one that holds one of the key", got)
 	}
 }
+
+// What the process before us sent to a cold server in this span is not known here: nothing more goes there in it.
+func TestSucceedingSpendsTheColdBudget(t *testing.T) {
+	servers := fleet(1)
+	servers[0].Started = t0
+	b, h := newBalancer(t, servers)
+	now := t0 + b.set.WarmAfter/2
+	b.Succeed(now)
+	h.actions = nil
+	b.Request(now+ms, req("early", 1))
+	if sent := h.take("send"); len(sent) > 0 {
+		t.Errorf("sent %v", sent)
+	}
+	if at := send(t, b, h, now+b.set.Fall+ms, req("later", 2)); at != servers[0].ID {
+		t.Errorf("sent to %q", at)
+	}
+}
