Take a line that waits for a slow desk host only when a probe has failed too

At fault: delays.look took the age of any unanswered line for the delay of the desk host. Now it counts only where nothing at all has come from there since, and a probe went unanswered. A connection that is silent alone loses its client after 1.5 s (was 3.5 s for all); bytes of an answer in pieces put that off, for 6 s at most.

Also: a process that leaves drops its watch first, so that its end is not reported as a failed call.

--- a/internal/net/delay.go
+++ b/internal/net/delay.go
@@ -21,7 +21,9 @@
 type lag struct {
 	probe    *probe
 	echo     time.Duration // the shortest from a line to the next, since the module was told
-	waiting  time.Duration // for how long a line has been without an answer
+	waiting  time.Duration // for how long a line has been without an answer, and all else silent
+	heardAt  time.Duration // when it last said anything, on any connection
+	missedAt time.Duration // when a probe last went unanswered
 	seen     bool          // at this look
 	fresh    bool          // set-ups have come up there since the last probe
 	probedAt time.Duration
@@ -84,7 +86,7 @@
 			if l.report.open++; d.upAt > l.report.madeAt {
 				l.report.since++
 			}
-			if d.askedAt > 0 {
+			if d.askedAt > l.heardAt {
 				l.waiting = max(l.waiting, now-d.askedAt)
 			}
 		}
@@ -100,6 +102,9 @@
 		if l.fresh {
 			every = probeEvery
 		}
+		if l.waiting > 0 {
+			every = look
+		}
 		if n.cfg.Settings.Probes && now-l.probedAt >= every {
 			l.fresh, l.probedAt = false, now
 			n.ask(server, l, now)
@@ -118,12 +123,21 @@
 	}
 }
 
+// silent is how long the desk host has left a line without an answer. Danger: a connection may fall silent alone;
+// to take its desk host to be slow for it would move all others that stand there. So a probe must have failed too.
+func (l *lag) silent(n *Node, now time.Duration) time.Duration {
+	if n.cfg.Settings.Probes && l.missedAt < now-l.waiting {
+		return 0
+	}
+	return l.waiting
+}
+
 // tell tells the module of a desk host, if that is due. What still waits for an answer counts by its age.
 func (s *delays) tell(n *Node, now time.Duration, server string, l *lag) {
 	if now-l.toldAt < noteEvery {
 		return
 	}
-	took := max(l.report.expected(now), l.echo, l.waiting)
+	took := max(l.report.expected(now), l.echo, l.silent(n, now))
 	l.echo = 0
 	slow := took > s.third
 	if slow || l.told {
--- a/internal/net/desk.go
+++ b/internal/net/desk.go
@@ -29,6 +29,7 @@
 	over    bool          // its outcome is told
 	last    policy.Result // what its end will mean
 	askedAt time.Duration // when the client's first line that is still unanswered went on
+	byteAt  time.Duration // when the last bytes came
 	silent  *deadline.Deadline
 }
 
@@ -111,6 +112,8 @@
 
 // traffic reads what the desk host answers, and passes on whole lines once the connection stands.
 func (d *desk) traffic(now time.Duration) {
+	d.byteAt = now
+	d.node.delays.of(d.server).heardAt = now
 	for d.conn != nil && !d.over {
 		buf := d.peek()
 		text, err := line.Cut(buf)
@@ -191,16 +194,31 @@
 // its clients must be let go within 7 s; they send a line every 2 s.
 const silence = 3500 * time.Millisecond
 
+// alone is the same where the desk host has answered others meanwhile: a sound connection answers at once.
+// An answer may come in pieces, but not for ever.
+const alone, longestSilence = 1500 * time.Millisecond, 6 * time.Second
+
 // asked tells that a client's line has gone on to the desk host.
 func (d *desk) asked(now time.Duration) {
 	if d.askedAt == 0 {
 		d.askedAt = now
-		d.silent = d.node.deadlines.Set(now+d.node.silence, func(now time.Duration) {
-			d.node.count.Add("connections moved: silent desk host")
-			d.front.move(now)
-			d.close(now, false, policy.Reset)
-		})
+		d.silent = d.node.deadlines.Set(now+min(alone, d.node.silence), d.unanswered)
+	}
+}
+
+// unanswered takes that a client's line has had no answer for a while.
+func (d *desk) unanswered(now time.Duration) {
+	since, most := max(d.askedAt, d.byteAt), d.node.silence
+	if d.node.delays.of(d.server).heardAt > since {
+		most = min(alone, most)
 	}
+	if due := min(since+most, d.askedAt+longestSilence); now < due {
+		d.silent = d.node.deadlines.Set(min(now+look, due), d.unanswered)
+		return
+	}
+	d.node.count.Add("connections moved: silent desk host")
+	d.front.move(now)
+	d.close(now, false, policy.Reset)
 }
 
 // heard tells that a line has come from the desk host.
--- a/internal/net/node.go
+++ b/internal/net/node.go
@@ -498,6 +498,7 @@
 	if n.last = n.link; n.last != nil {
 		n.last.close()
 	}
+	n.pool.watch(false) // whose end is no failure
 	close(n.stopped)
 	if n.last != nil {
 		n.shut()
--- a/internal/net/probe.go
+++ b/internal/net/probe.go
@@ -147,7 +147,10 @@
 }
 
 func (p *probe) send(now time.Duration) {
-	p.limit = p.node.deadlines.Set(now+probeTimeout, func(time.Duration) { p.close() })
+	p.limit = p.node.deadlines.Set(now+probeTimeout, func(now time.Duration) {
+		p.lag.missedAt = now
+		p.close()
+	})
 	p.node.write(p.conn, []byte("STATS\r\n"))
 }
 
@@ -172,7 +175,7 @@
 			return
 		}
 		p.node.deadlines.Stop(p.limit)
-		p.limit = nil
+		p.limit, p.lag.heardAt = nil, now
 		if kind, rest := line.Parse(text); kind == line.Pong {
 			if x0, ok := line.Field(rest, "x0"); ok {
 				util, ok := line.Field(rest, "cpu")
@@ -200,5 +203,11 @@
 	p.node.end(p.conn, false)
 }
 
-func (p *probe) detach(bool)                { p.conn = nil }
-func (p *probe) closed(time.Duration, bool) { p.close() }
+func (p *probe) detach(bool) { p.conn = nil }
+
+func (p *probe) closed(now time.Duration, _ bool) {
+	if !p.over {
+		p.lag.missedAt = now // by its own doing, or it never came up
+	}
+	p.close()
+}
--- a/internal/net/probe_test.go
+++ b/internal/net/probe_test.go
@@ -68,3 +68,14 @@
 	r.learn(5*time.Second, crowded, 0.9)
 	assert.True(t, r.shed(9*time.Second))
 }
+
+// A line that waits tells of one connection; only where a probe has failed since does it tell of the desk host.
+func TestALineThatWaitsIsNotASlowDeskHost(t *testing.T) {
+	n := &Node{}
+	l := &lag{waiting: time.Second, missedAt: 8 * time.Second}
+	assert.Equal(t, time.Second, l.silent(n, 10*time.Second), "without probes there is no other sign")
+	n.cfg.Settings.Probes = true
+	assert.Zero(t, l.silent(n, 10*time.Second), "that probe failed before the line was sent")
+	l.missedAt = 9500 * time.Millisecond
+	assert.Equal(t, time.Second, l.silent(n, 10*time.Second))
+}
