--- a/internal/net/front.go
+++ b/internal/net/front.go
@@ -63,8 +63,16 @@
 
 // mostSilent is how long a front socket may go without a whole command, from when it came or was last answered.
 // Danger: those that open by the hundred and say nothing, or drip, would keep the descriptors that clients need.
-// They are owed an answer within 3 s.
-const mostSilent = 2 * time.Second
+// They are owed an answer within 3 s. A true client may take 2 s to write its line.
+const mostSilent = 2600 * time.Millisecond
+
+// idler tells whether a front socket is to go before another one.
+func (f *front) idler(other *front) bool {
+	if mid, others := f.buffered() > 0, other.buffered() > 0; mid != others {
+		return others
+	}
+	return f.since < other.since
+}
 
 // silent gives the client so long to say something; then it is told a last line, if any, and closed.
 func (f *front) silent(now, most time.Duration, last string) {
--- a/internal/net/node.go
+++ b/internal/net/node.go
@@ -368,8 +368,9 @@
 // the listeners, discovery, a configuration that is being read. Callers have theirs besides.
 const own = 24
 
-// room sees to it that so many more descriptors may be opened. Where they are short, the front socket goes
-// that has been silent for longest, before any client with a request is refused.
+// room sees to it that so many more descriptors may be opened. Where they are short, front sockets without a whole
+// request go, before any client with one is refused: of those that are not in the midst of a line, and then of the
+// others, the one that has been silent for longest.
 //
 // Danger: a listener that finds no descriptor ends the whole event loop, and so it would if another goroutine
 // accepted hundreds before the loop had a chance to count them.
@@ -377,7 +378,7 @@
 	for n.cfg.Sockets > 0 && n.left() < more {
 		var silent *front
 		for _, f := range n.fronts.All() {
-			if f.conn != nil && (!f.taken || f.linger) && (silent == nil || f.since < silent.since) {
+			if f.conn != nil && (!f.taken || f.linger) && (silent == nil || f.idler(silent)) {
 				silent = f
 			}
 		}
