Count the duplicate of a dialled socket until it is closed, so that accepting never lacks a descriptor

A listener that finds none ends gnet's loop, and with it the process. At fault: OnOpen took a socket off `dialling` although gnet's worker closes the duplicate later, and on a quarter of a core it lags.

Now `doubled` counts them until the worker's channel is closed. Unit test and scenario fail without the change.

--- a/internal/net/desk.go
+++ b/internal/net/desk.go
@@ -80,14 +80,21 @@
 	})
 }
 
-// enroll brings a connection to the loop, which tells the socket of it by opened.
+// enroll brings a connection to the loop, which tells the socket of it by opened. The loop gets a duplicate; ours is
+// closed before the channel is. Danger: it is closed by a goroutine, which may lag behind when dozens come at once.
 func (n *Node) enroll(s socket, c stdnet.Conn) error {
 	done, err := n.loop.Enroll(gnet.NewContext(context.Background(), s), c)
 	if err != nil {
 		_ = c.Close()
 		return err
 	}
-	return (<-done).Err // danger: what fails here, for want of a descriptor, is told nowhere else
+	for result := range done { // danger: what fails here, for want of a descriptor, is told nowhere else
+		err = result.Err
+	}
+	if err == nil {
+		n.post(func(time.Duration) { n.doubled-- })
+	}
+	return err
 }
 
 // opened sends the first line as it came, but for how long we wait.
--- a/internal/net/node.go
+++ b/internal/net/node.go
@@ -56,6 +56,7 @@
 
 	connections int // of gnet, dialled and accepted, but for callers
 	dialling    int // each has a descriptor, and for a moment its duplicate
+	doubled     int // whose duplicate is still open
 	halves      int
 	callers     []*caller // in order of their coming
 	admin       string    // the second address as the listener names it; empty without one
@@ -318,6 +319,7 @@
 	case ok:
 		n.connections++
 		n.dialling--
+		n.doubled++
 	case n.admin != "" && c.LocalAddr().String() == n.admin:
 		s = &caller{node: n}
 	default:
@@ -401,7 +403,7 @@
 	if n.admin != "" {
 		most -= mostCallers
 	}
-	return most - own - n.connections - 2*n.dialling - n.halves
+	return most - own - n.connections - 2*n.dialling - n.doubled - n.halves
 }
 
 // buffered is how much may wait for one peer that does not read, or from one that must wait: of a quarter of
--- /dev/null
+++ b/internal/net/node_test.go
@@ -0,0 +1,52 @@
+package net
+
+import (
+	"context"
+	stdnet "net"
+	"testing"
+	"time"
+
+	"github.com/panjf2000/gnet/v2"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// slowLoop enrols a connection, but closes its own end of it only when told to.
+type slowLoop struct {
+	gnet.EventLoop
+	enrolled chan gnet.RegisteredResult
+	events   chan gnet.Runnable
+}
+
+func (l slowLoop) Enroll(context.Context, stdnet.Conn) (<-chan gnet.RegisteredResult, error) {
+	return l.enrolled, nil
+}
+
+func (l slowLoop) Execute(_ context.Context, event gnet.Runnable) error {
+	l.events <- event
+	return nil
+}
+
+// Dozens of desk hosts dialled at once each have a second descriptor until a goroutine closes it. Not counting
+// those let the listener run out of them, which ends the loop and the process.
+func TestDuplicatesCountUntilTheyAreClosed(t *testing.T) {
+	loop := slowLoop{enrolled: make(chan gnet.RegisteredResult, 1), events: make(chan gnet.Runnable, 1)}
+	n := &Node{loop: loop, origin: time.Now()}
+	n.cfg.Sockets = own + 10
+	n.dialling = 1
+	done := make(chan error, 1)
+	go func() { done <- n.enroll(&probe{}, nil) }()
+	assert.Equal(t, 8, n.left())
+	n.connections, n.dialling, n.doubled = 1, 0, 1 // as OnOpen has it
+	assert.Equal(t, 8, n.left())
+	loop.enrolled <- gnet.RegisteredResult{}
+	select {
+	case <-loop.events:
+		t.Error("told before the duplicate was closed")
+	default:
+	}
+	close(loop.enrolled)
+	require.NoError(t, (<-loop.events).Run(context.Background()))
+	require.NoError(t, <-done)
+	assert.Equal(t, 9, n.left())
+}
--- a/internal/net/scenario_test.go
+++ b/internal/net/scenario_test.go
@@ -42,6 +42,7 @@
 //	reload same             the same, with discovery where it is
 //	reload TEXT             the same with a file of this text
 //	wait exit               waits until the node has ended
+//	wait left N             waits until the node may open N more descriptors
 //	wait count NAME N       waits until a counter of the node is N, or with N+ at least N
 //
 // Every read has a limit, so a step that never comes fails; no step sleeps.
@@ -140,8 +141,11 @@
 		return nil
 	case who == "wait" && verb == "exit":
 		return r.within(func() error { return <-r.exited })
+	case who == "wait" && verb == "left":
+		return r.ask(text, func() int64 { return int64(r.node.left()) })
 	case who == "wait":
-		return r.count(text)
+		i := strings.LastIndex(text, " ")
+		return r.ask(text[i+1:], func() int64 { return r.node.count[text[:i]] })
 	}
 	return r.peer(who, verb, text)
 }
@@ -229,18 +233,16 @@
 	}
 }
 
-// count asks the loop again and again: each question is answered after all events before it.
-func (r *rig) count(text string) error {
-	i := strings.LastIndex(text, " ")
-	name, figure := text[:i], strings.TrimSuffix(text[i+1:], "+")
-	want, err := strconv.ParseInt(figure, 10, 64)
+// ask asks the loop again and again: each question is answered after all events before it.
+func (r *rig) ask(figure string, what func() int64) error {
+	want, err := strconv.ParseInt(strings.TrimSuffix(figure, "+"), 10, 64)
 	if err != nil {
 		return err
 	}
 	return r.within(func() error {
-		for got := int64(-1); got < want || got > want && figure == text[i+1:]; {
+		for got := int64(-1); got < want || got > want && !strings.HasSuffix(figure, "+"); {
 			answer := make(chan int64)
-			r.node.post(func(time.Duration) { answer <- r.node.count[name] })
+			r.node.post(func(time.Duration) { answer <- what() })
 			got = <-answer
 		}
 		return nil
