Deal out what arrives mid-flow at once among its likely holders

At fault: policy.walk and holds, which look for the most likely holder of each arrival as if it came alone.

Now each arrival of the key counts off what is expected at that desk host; equal ones go by occupancy. With none of the key here (a process that has just started) the runner-up takes its turn with the top score: a connection is placed on the less occupied of the two, so both are as likely.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -213,7 +213,7 @@
 // walk is the one way down the ranking. Where nobody is left it tells when a reason may end: guesses yield
 // after half of the request's time, room at a cold server is drawn anew, the others last.
 func (b *Balancer) walk(now time.Duration, r *request, guessesYield bool) (top *server, ends time.Duration) {
-	skip := b.popular(r)
+	skip, best, most, ranked := b.popular(r), 0, 0, 0
 	ends = never
 	for s := range b.rank(r.hash) {
 		why := b.passOver(now, r, s)
@@ -225,8 +225,14 @@
 			ends = min(ends, r.patient)
 		case eligible < why && why < cold:
 		case r.keeps(): // any but its holder resets it
-			if top == nil || b.holds(now, s, r.hash) > b.holds(now, top, r.hash) {
-				top = s
+			h, came := b.holds(now, s, r.hash)
+			ranked++
+			fewer := ranked == 2 && came < most
+			if h > 0 && top != nil {
+				fewer = s.occupancy() < top.occupancy()
+			}
+			if top == nil || h > best || h == best && fewer {
+				top, best, most = s, h, came
 			}
 		case skip >= 0: // popular
 		case top == nil:
@@ -240,23 +246,29 @@
 	return top, ends
 }
 
-// holds tells how likely a server holds a connection of a key that arrives mid-flow. All siblings rank alike
-// and meet the same trouble, so most stand where most of those that we placed ourselves do; without any, at
-// the top. But hardly at one that is slow and shunned for it, or that started since: connections last for
-// many seconds, and were placed by the list of their time.
-func (b *Balancer) holds(now time.Duration, s *server, key uint32) (ours int) {
+// holds tells how likely a server holds a connection of a key that arrives mid-flow, and how many of the key
+// came here that way. All siblings rank alike and meet the same trouble, so most stand where most of those
+// that we placed ourselves do; without any, at the top, or as likely at the runner-up. But hardly at one that
+// is slow and shunned for it, or that started since: connections last for many seconds, and were placed by
+// the list of their time. Danger: of a key of many clients dozens arrive at once, and those sent elsewhere
+// than to their holder are set up anew and fill one server; so each that came counts off what is expected.
+func (b *Balancer) holds(now time.Duration, s *server, key uint32) (ours, came int) {
 	if s.Started > 0 && now-s.Started < lasting {
-		return -2
+		return -2, 0
 	}
 	for _, c := range s.conns {
-		if c.hash == key && c.began && !c.midFlow {
+		switch {
+		case c.hash != key:
+		case c.midFlow:
+			came++
+		case c.began:
 			ours++
 		}
 	}
 	if ours == 0 && b.slow(now, s) {
-		return -1
+		return -1, came
 	}
-	return ours
+	return min(ours, 1+max(ours-came, 0)), came
 }
 
 const lasting = 20 * time.Second // the least that a site's connections last on average
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -1146,3 +1146,29 @@
 		t.Errorf("sent to %q", at)
 	}
 }
+
+// When a sibling dies, all its clients of a key arrive at once. What is sent elsewhere than to its holder is set up
+// anew, so they are dealt out as the holders' parts are likely to be; all to one server would fill it.
+func TestMidFlowBurstsAreDealtOut(t *testing.T) {
+	burst := func(b *Balancer, h *fakeHost, n int) map[string]int {
+		got := map[string]int{}
+		for i := range n {
+			q := req(fmt.Sprint("mid", i), 7)
+			q.MidFlow = true
+			got[send(t, b, h, t0+ms, q)]++
+		}
+		return got
+	}
+	b, h := newBalancer(t, fleet(5))
+	ranked := ids(b, 7)
+	if got := burst(b, h, 6); got[ranked[0]] != 3 || got[ranked[1]] != 3 {
+		t.Errorf("with none of the key here: %v of %v", got, ranked)
+	}
+	b, h = newBalancer(t, fleet(5))
+	for i, at := range []int{2, 2, 2, 2, 3, 3} {
+		b.Open(t0, req(fmt.Sprint("own", i), 7), ranked[at])
+	}
+	if got := burst(b, h, 6); got[ranked[2]] < 3 || got[ranked[3]] < 2 || len(got) != 2 {
+		t.Errorf("with four at one and two at the other: %v of %v", got, ranked)
+	}
+}
