End the old process's listener in the moment its queue is found empty

Seen: under load (six race-detected test runs beside each other) the upgrade scenario failed once: a client that connected after the old process had ended its serving was reset. Ruled out: the handover itself (all was passed on). At fault: Node.leave asked for the length of the accept queue, then printed its report and told Run, and only then ended the listener; whoever came in between was reset. Now Node.shut asks and ends in one step, before all else.

--- a/internal/net/node.go
+++ b/internal/net/node.go
@@ -170,7 +170,7 @@
 	case err = <-failed:
 	}
 	select {
-	case <-n.stopped: // which ends the listener and with it the loop
+	case <-n.stopped: // the loop may have ended before us, with its listener
 		if n.last != nil {
 			<-n.last.flushed
 		}
@@ -495,7 +495,7 @@
 	n.deadlines.Set(now+drainCheck, func(now time.Duration) { n.drained(now, latest) })
 }
 
-// leave ends the process. Nobody waits at its listener.
+// leave ends the process.
 func (n *Node) leave() {
 	n.report()
 	if n.last = n.link; n.last != nil {
@@ -503,7 +503,4 @@
 	}
 	n.pool.watch(false) // whose end is no failure
 	close(n.stopped)
-	if n.last != nil {
-		n.shut()
-	}
 }
--- a/internal/net/upgrade.go
+++ b/internal/net/upgrade.go
@@ -319,7 +319,7 @@
 	n.leading = false
 }
 
-// handOver passes on what can be, and tells whether all is.
+// handOver passes on what can be, and tells whether all is; then the listener has ended too.
 func (n *Node) handOver(now time.Duration) bool {
 	for _, f := range n.fronts.All() {
 		if f.passOn(now) {
@@ -331,27 +331,21 @@
 			n.shareOut(n.cfg.Sockets - needs)
 		}
 	}
-	return n.fronts.Len() == 0 && n.table.Len() == 0 && n.queued() == 0
+	return n.fronts.Len() == 0 && n.table.Len() == 0 && n.shut()
 }
 
-// queued is how many clients wait to be accepted here. Danger: closing the listener resets them.
-func (n *Node) queued() int {
+// shut ends the listener if nobody waits there. Danger: ending it resets those that do, so nothing may come between
+// the question and the end, not even our report.
+func (n *Node) shut() bool {
 	fd, err := n.engine.DupListener("tcp", n.cfg.Listen)
 	if err != nil {
-		return 0
+		return true
 	}
 	defer syscall.Close(fd)
 	info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
-	if err != nil {
-		return 0
-	}
-	return int(info.Unacked) // of a listener: the length of its queue
-}
-
-// shut ends the listener, right after queued has told that nobody waits there.
-func (n *Node) shut() {
-	if fd, err := n.engine.DupListener("tcp", n.cfg.Listen); err == nil {
-		_ = syscall.Shutdown(fd, syscall.SHUT_RDWR)
-		_ = syscall.Close(fd)
+	if err == nil && info.Unacked > 0 { // of a listener: the length of its queue
+		return false
 	}
+	_ = syscall.Shutdown(fd, syscall.SHUT_RDWR)
+	return true
 }
