Cells: one decision module for each part of the fleet, with the lab that shows it

Need: one carrier's trouble reaches all desk hosts, as every carrier may stand on each.

internal/cells deals hosts to cells (weighted rendezvous under quotas, alike at every balancer from list and file), gives each cell a policy.Balancer of its own behind one face, keeps limits and guests, and moves a carrier flight by flight at moments that follow from file and clock. internal/operator reads the operator's file (HCL) whole or not at all. The command line is on kong, the log on slog. internal/lab plays a modelled fleet in virtual time and on sockets.

--- a/cmd/tealtiller/main.go
+++ b/cmd/tealtiller/main.go
@@ -1,51 +1,111 @@
-// Command tealtiller is a balancer for long-lived connections on real sockets. It is told all it needs by the
-// environment: EDGE_CONFIG names its configuration.
+// Command tealtiller is a balancer for long-lived connections on real sockets. Without a sub-command it serves. It
+// is told all it needs by the environment: EDGE_CONFIG names its configuration, EDGE_OPERATOR the operator's own file.
 package main
 
 import (
+	"errors"
 	"fmt"
-	"log"
+	"io"
+	"log/slog"
 	"os"
 	"os/signal"
 	"runtime"
+	"runtime/debug"
 	"syscall"
 
+	"github.com/alecthomas/kong"
+
 	"tealtiller/internal/net"
+	"tealtiller/internal/operator"
 	"tealtiller/internal/poolconfig"
 	"tealtiller/internal/settings"
 )
 
+type commands struct {
+	LogFormat string `enum:"text,json" default:"text" env:"EDGE_LOG_FORMAT" help:"How the log is written: ${enum}."`
+
+	Serve   serve   `cmd:"" default:"withargs" help:"Serve clients; what runs where no sub-command is named."`
+	Check   check   `cmd:"" help:"Check operator's files and tell every error; exit code 1 if there is one."`
+	Cells   inspect `cmd:"" help:"Print which desk host and carrier is in which cell, and what each move would do."`
+	Version version `cmd:"" help:"Print the version."`
+}
+
 func main() {
-	log.SetFlags(log.Ltime | log.Lmicroseconds)
-	if err := run(); err != nil {
-		fmt.Fprintf(os.Stderr, "tealtiller: %v\n", err)
+	var c commands
+	k := kong.Parse(&c, kong.Name("tealtiller"), kong.UsageOnError(),
+		kong.Description("A balancer for long-lived connections. Its environment tells it all it needs (README.md)."))
+	k.BindTo(os.Stdout, (*io.Writer)(nil))
+	if err := k.Run(&c); err != nil {
+		var all operator.Error
+		if errors.As(err, &all) {
+			for _, line := range all {
+				fmt.Fprintln(os.Stderr, line)
+			}
+		} else {
+			fmt.Fprintf(os.Stderr, "tealtiller: %v\n", err)
+		}
 		os.Exit(1)
 	}
 }
 
-func run() error {
+type version struct{}
+
+func (version) Run(out io.Writer) error {
+	info, _ := debug.ReadBuildInfo()
+	revision := "unknown"
+	for _, s := range info.Settings {
+		if s.Key == "vcs.revision" {
+			revision = s.Value
+		}
+	}
+	_, err := fmt.Fprintf(out, "tealtiller revision %s, %s\n", revision, info.GoVersion)
+	return err
+}
+
+type serve struct {
+	Operator string `type:"path" env:"EDGE_OPERATOR" help:"The operator's own file; without one all in it is off."`
+}
+
+// Run serves until the node has drained or its listener fails.
+func (s serve) Run(c *commands) error {
+	var handler slog.Handler = slog.NewTextHandler(os.Stderr, nil)
+	if c.LogFormat == "json" {
+		handler = slog.NewJSONHandler(os.Stderr, nil)
+	}
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGHUP, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
 	source := settings.NewSource(os.Getenv)
-	cfg, err := source.Load()
+	load := func() (t net.Terms, err error) {
+		// The operator's file first: a configuration that was read counts as taken.
+		if s.Operator != "" {
+			file, err := operator.Load(s.Operator)
+			if err != nil {
+				return t, err
+			}
+			t.Plan = file.Cells
+		}
+		t.Config, err = source.Load()
+		return t, err
+	}
+	terms, err := load()
 	if err != nil {
 		return err
 	}
 	known := &poolconfig.List{}
-	if len(cfg.Known) > 0 {
-		if known, err = poolconfig.Parse(cfg.Known); err != nil {
+	if len(terms.Known) > 0 {
+		if known, err = poolconfig.Parse(terms.Known); err != nil {
 			return fmt.Errorf("configuration: known: %w", err)
 		}
 	}
 	// The loop sits in a system call most of the time. With one processor for Go code, what it wakes would
 	// wait until the runtime's monitor takes that processor away from it.
 	runtime.GOMAXPROCS(4)
-	node := net.NewNode(cfg, known, os.Stderr, os.Getenv("TMPDIR"))
+	node := net.NewNode(terms, known, os.Stderr, os.Getenv("TMPDIR"), slog.New(handler))
 	go func() {
 		for s := range signals {
 			switch s {
 			case syscall.SIGHUP:
-				node.Reload(source.Load)
+				node.Reload(load)
 			case syscall.SIGUSR1:
 				node.Report()
 			default:
--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -11,6 +11,7 @@
 	"slices"
 	"strings"
 
+	"tealtiller/internal/cells"
 	"tealtiller/internal/counters"
 )
 
@@ -62,8 +63,12 @@
 	Pending              int
 	Members, Unavailable int
 	Reloads, Refused     int64 // configurations taken in and turned down
+	Cells                []Cell
 }
 
+// Cell is the figures of one cell.
+type Cell cells.Figures
+
 // Text writes the figures, one a line, classes in order of their names.
 func (f Figures) Text() string {
 	var b strings.Builder
@@ -75,5 +80,12 @@
 	fmt.Fprintf(&b, "svc.upstream_requests:%d|c\nsvc.pending:%d|g\nsvc.members:%d|g\nsvc.members_unavailable:%d|g\n"+
 		"svc.config_reloads:%d|c\nsvc.config_reload_errors:%d|c\n",
 		f.Attempts, f.Pending, f.Members, f.Unavailable, f.Reloads, f.Refused)
+	for _, c := range f.Cells {
+		fmt.Fprintf(&b, "svc.cells.%[1]s.connections:%[2]d|g\nsvc.cells.%[1]s.guests:%[3]d|g\nsvc.cells.%[1]s.members:%[4]d|g\n"+
+			"svc.cells.%[1]s.members_usable:%[5]d|g\nsvc.cells.%[1]s.moves_left:%[6]d|g\nsvc.cells.%[1]s.moved:%[7]d|c\n"+
+			"svc.cells.%[1]s.rejected_full:%[8]d|c\nsvc.cells.%[1]s.rejected_too_fast:%[9]d|c\nsvc.cells.%[1]s.rejected_no_member:%[10]d|c\n"+
+			"svc.cells.%[1]s.rejected:%[11]d|c\nsvc.cells.%[1]s.overflowed:%[12]d|c\n",
+			c.Name, c.Open, c.Guests, c.Hosts, c.Usable, c.MovesLeft, c.Moved, c.Full, c.TooFast, c.NoHost, c.Counts.Refused, c.Overflowed)
+	}
 	return b.String()
 }
--- /dev/null
+++ b/internal/cells/plan_test.go
@@ -0,0 +1,146 @@
+package cells
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"pgregory.net/rapid"
+
+	"tealtiller/policy"
+)
+
+// hosts makes a fleet of two rooms and two kinds.
+func hosts(n int) []policy.Server {
+	out := make([]policy.Server, n)
+	for i := range out {
+		out[i] = policy.Server{ID: fmt.Sprintf("s-%04d", i), Zone: []string{"treforest", "llandaff"}[i%2],
+			Kind: []string{"full-speed", "slow-clock"}[i/2%2], Cell: i % 5, State: policy.Ready, Weight: 1}
+	}
+	return out
+}
+
+func even(n int) *Plan {
+	p := &Plan{Default: "c0"}
+	for i := range n {
+		p.Cells = append(p.Cells, Cell{Name: fmt.Sprintf("c%d", i), Share: 1 / float64(n), Carriers: []string{fmt.Sprintf("air-%d", i)}})
+	}
+	return p
+}
+
+// Each mistake that an operator can make is told at its block and attribute, and all of them at once.
+func TestCheckTellsEveryMistake(t *testing.T) {
+	p := &Plan{Default: "nowhere", Cells: []Cell{
+		{Name: "a", Share: 0.7, Carriers: []string{"x"}, OverflowTo: "b", Guests: 3, Flights: []Range{{1, 9}}, Numbers: []int{4}, Rooms: []string{"r"}},
+		{Name: "b", Share: 0.7, Carriers: []string{"x"}, OverflowTo: "a", Guests: 5, Connections: 5, Flights: []Range{{9, 9}}, Numbers: []int{4}, Rooms: []string{"r"}},
+		{Name: "b", Share: math.NaN()}, {Name: "no good", OverflowTo: "c"}, {Name: "e", Share: 0.1, OverflowTo: "no good"},
+	}, Moves: []Move{{Carrier: "x", From: "b", To: "z", Span: 1, Start: 5, Back: 4, Pace: -1}, {Carrier: "x", From: "a", To: "a", Span: time.Hour}}}
+	var got []string
+	for _, problem := range p.Check() {
+		got = append(got, problem.Block+"|"+problem.Label+"|"+problem.Attribute)
+	}
+	for _, want := range []string{"||default", "cell|b|carriers", "cell|b|flights", "cell|b|numbers", "cell|b|rooms", "cell|b|guests",
+		"cell|b|", "cell|b|share", "cell|no good|", "cell|e|share", "cell|a|overflow_to", "cell|no good|overflow_to",
+		"cell|e|overflow_to", "move|x|from", "move|x|to", "move|x|span", "move|x|back", "move|x|pace", "move|x|"} {
+		assert.Contains(t, got, want)
+	}
+	assert.Empty(t, even(40).Check())
+	assert.Empty(t, (&Plan{}).Check())
+}
+
+// Dealing is alike at every balancer, whatever the order in which the list came; every host is in one cell, each cell
+// has its quota, and of no room and kind more than its share rounded up, unless there was no other way.
+func TestDealIsAlikeAndEven(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n, k := rapid.IntRange(1, 60).Draw(t, "hosts"), rapid.IntRange(1, 7).Draw(t, "cells")
+		p, list := even(k), hosts(n)
+		dealt := p.Deal(list)
+		shuffled := rapid.Permutation(list).Draw(t, "order")
+		assert.Equal(t, dealt, p.Deal(shuffled))
+		count := map[string]int{}
+		for _, s := range list {
+			count[dealt[s.ID]]++
+		}
+		for _, c := range p.Cells {
+			assert.InDelta(t, float64(n)/float64(k), count[c.Name], 1)
+		}
+		assert.Len(t, dealt, n)
+		assert.NotContains(t, count, "")
+	})
+}
+
+func TestDealSpreadsOverRoomsAndKinds(t *testing.T) {
+	list, p := hosts(48), even(4)
+	count := map[string]int{}
+	for id, c := range p.Deal(list) {
+		i := slices.IndexFunc(list, func(s policy.Server) bool { return s.ID == id })
+		count[c+list[i].Zone+list[i].Kind]++
+	}
+	assert.Len(t, count, 16)
+	for _, n := range count {
+		assert.Equal(t, 3, n)
+	}
+}
+
+// A host that leaves moves few others: at 1,000 hosts and 40 cells under one on average, with slack; and without any
+// a cell's share stays exact.
+func TestDealMovesFew(t *testing.T) {
+	for slack, most := range map[float64]int{0.1: 30, 0: 180} {
+		list, p := hosts(1000), even(40)
+		p.Slack = slack
+		before, moved, largest := p.Deal(list), 0, 0
+		for i := 0; i < 30; i++ {
+			count := map[string]int{}
+			for id, c := range p.Deal(slices.Delete(slices.Clone(list), i*30, i*30+1)) {
+				if before[id] != c {
+					moved++
+				}
+				count[c]++
+				largest = max(largest, count[c])
+			}
+		}
+		assert.Less(t, moved, most)
+		assert.LessOrEqual(t, largest, 25+int(25*slack))
+	}
+}
+
+func TestHostsThatACellNames(t *testing.T) {
+	p := &Plan{Default: "rest", Cells: []Cell{{Name: "id", IDs: []string{"s-0000"}}, {Name: "number", Numbers: []int{0}},
+		{Name: "room", Rooms: []string{"llandaff"}}, {Name: "kind", Kinds: []string{"slow-clock"}}, {Name: "rest", Share: 1}}}
+	dealt := p.Deal(hosts(8))
+	assert.Equal(t, map[string]string{"s-0000": "id", "s-0001": "room", "s-0002": "kind", "s-0003": "room",
+		"s-0004": "rest", "s-0005": "number", "s-0006": "kind", "s-0007": "room"}, dealt)
+	p.Cells[4].Share = 0
+	p.Cells[4].Numbers = []int{99}
+	assert.Equal(t, "rest", p.Deal(hosts(8))["s-0004"], "without shares the default cell has the rest")
+}
+
+// Within a move a flight crosses once, at a time that file and clock give; turned back, it returns once or never
+// crosses, the last one first.
+func TestFlightsCrossOnceAndReturnOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := Move{Carrier: "x", From: "a", To: "b", Start: 1000 * time.Second, Span: time.Duration(rapid.IntRange(1, 600).Draw(t, "span")) * time.Second}
+		if rapid.Bool().Draw(t, "turned") {
+			m.Back = m.Start + time.Duration(rapid.IntRange(1, 900).Draw(t, "back"))*time.Second
+		}
+		flight := rapid.Uint64().Draw(t, "flight")
+		changes, was := 0, false
+		for now := m.Start - time.Second; now <= m.End()+time.Second; now += m.Span / 100 {
+			there, since := m.Crossed(now, flight)
+			if there != was {
+				changes, was = changes+1, there
+			}
+			assert.LessOrEqual(t, since, now)
+		}
+		if m.Back == 0 {
+			assert.Equal(t, 1, changes)
+			assert.True(t, was)
+		} else {
+			assert.False(t, was)
+			assert.LessOrEqual(t, changes, 2)
+		}
+	})
+}
--- /dev/null
+++ b/internal/lab/plot.go
@@ -0,0 +1,39 @@
+package lab
+
+import (
+	"image/color"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/vg"
+)
+
+// PlotSizes draws, for each kind of fault, the share of the other carriers' connections that it harmed.
+func PlotSizes(path string, sized []Sized) error {
+	p := plot.New()
+	p.Title.Text = "Connections of the other 39 carriers that a fault harms"
+	p.Y.Label.Text = "per cent"
+	p.Legend.Top = true
+	var names []string
+	var with, without plotter.Values
+	for _, s := range sized {
+		names = append(names, s.Fault)
+		with = append(with, 100*s.With.Others.share())
+		without = append(without, 100*s.Without.Others.share())
+	}
+	for i, bars := range []struct {
+		values plotter.Values
+		name   string
+		colour color.Color
+	}{{without, "without cells", color.RGBA{R: 190, G: 90, B: 60, A: 255}}, {with, "with 40 cells", color.RGBA{R: 40, G: 120, B: 130, A: 255}}} {
+		chart, err := plotter.NewBarChart(bars.values, vg.Points(18))
+		if err != nil {
+			return err
+		}
+		chart.Color, chart.Offset = bars.colour, vg.Points(float64(20*i-10))
+		p.Add(chart)
+		p.Legend.Add(bars.name, chart)
+	}
+	p.NominalX(names...)
+	return p.Save(18*vg.Centimeter, 10*vg.Centimeter, path)
+}
--- a/internal/line/line.go
+++ b/internal/line/line.go
@@ -82,6 +82,7 @@
 type Opening struct {
 	ID       string
 	Class    string
+	Carrier  string // empty where none is told
 	Key      uint64
 	Group    uint64
 	HasGroup bool
@@ -153,6 +154,8 @@
 			return errors.New("want one figure in milliseconds")
 		}
 		o.from, o.to = at, at+len(value)
+	case "t":
+		o.Carrier = string(value)
 	case "g":
 		o.Group, err = hex(value)
 		o.HasGroup = true
--- a/internal/net/carrier.go
+++ b/internal/net/carrier.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"log"
 	"time"
 
 	"tealtiller/internal/operation"
@@ -56,4 +55,4 @@
 
 func (c carrier) Watch(on bool) { c.node.pool.watch(on) }
 
-func (c carrier) Log(text string) { log.Printf("%s: %s", c.node.cfg.Name, text) }
+func (c carrier) Log(text string) { c.node.log.Info("decision", "text", text) }
--- a/internal/net/front.go
+++ b/internal/net/front.go
@@ -210,7 +210,7 @@
 // request is an opening as the module takes it.
 func (n *Node) request(o line.Opening) policy.Request {
 	q := policy.Request{ID: o.ID, Class: o.Class, Key: o.Key, HasKey: true, TTL: max(o.Wait-margin, 0),
-		MidFlow: o.MidFlow, Returned: o.Returned}
+		MidFlow: o.MidFlow, Returned: o.Returned, Tenant: o.Carrier}
 	if n.cfg.Settings.Groups && o.HasGroup {
 		q.Key = o.Group
 	}
--- a/internal/net/node.go
+++ b/internal/net/node.go
@@ -9,7 +9,7 @@
 	"errors"
 	"fmt"
 	"io"
-	"log"
+	"log/slog"
 	stdnet "net"
 	"net/netip"
 	"os"
@@ -19,6 +19,7 @@
 
 	"github.com/panjf2000/gnet/v2"
 
+	"tealtiller/internal/cells"
 	"tealtiller/internal/counters"
 	"tealtiller/internal/deadline"
 	"tealtiller/internal/line"
@@ -29,10 +30,17 @@
 	"tealtiller/policy"
 )
 
+// Terms are what a node works by: the platform's configuration, and what the operator's own file adds to it.
+type Terms struct {
+	settings.Config
+	Plan *cells.Plan // nil: no cells
+}
+
 // Node is one balancer. Its gnet callbacks and all its methods but Run, Reload, Drain and Report belong to the loop.
 type Node struct {
 	gnet.BuiltinEventEngine
-	cfg       settings.Config
+	cfg       Terms
+	log       *slog.Logger
 	known     *poolconfig.List
 	out       io.Writer // of counters
 	engine    gnet.Engine
@@ -40,6 +48,7 @@
 	booted    chan struct{} // closed when loop is known
 	origin    time.Time
 	table     *operation.Table
+	fleet     *cells.Fleet // the module that the table speaks with
 	deadlines deadline.Queue
 	count     counters.Set
 	folder    string // that the processes of this balancer share
@@ -83,8 +92,8 @@
 
 // NewNode makes a balancer that writes its counters to out. In the folder it meets the process that served before
 // it, or the one that comes after it; there may be none.
-func NewNode(cfg settings.Config, known *poolconfig.List, out io.Writer, folder string) *Node {
-	n := &Node{cfg: cfg, known: known, out: out, folder: folder, leading: true, origin: time.Now(), count: counters.Set{},
+func NewNode(cfg Terms, known *poolconfig.List, out io.Writer, folder string, log *slog.Logger) *Node {
+	n := &Node{cfg: cfg, log: log.With("balancer", cfg.Name), known: known, out: out, folder: folder, leading: true, origin: time.Now(), count: counters.Set{},
 		addresses: map[string]netip.AddrPort{}, booted: make(chan struct{}), stopped: make(chan struct{}), silence: silence,
 		patience: mostSilent}
 	n.pool = pool{node: n, address: cfg.Discovery, client: poolconfig.NewClient(cfg.Discovery, poolconfig.None)}
@@ -94,7 +103,7 @@
 }
 
 // adopt takes a configuration as the one in force.
-func (n *Node) adopt(cfg settings.Config) {
+func (n *Node) adopt(cfg Terms) {
 	n.cfg = cfg
 	n.delays.aims(cfg.Settings.Policy)
 	n.limitMemory()
@@ -113,7 +122,7 @@
 
 // Reload takes in a configuration that has been replaced; it may be called from any goroutine but the loop, on
 // which nothing is read. One that makes no sense changes nothing.
-func (n *Node) Reload(load func() (settings.Config, error)) {
+func (n *Node) Reload(load func() (Terms, error)) {
 	<-n.booted
 	cfg, err := load()
 	if err == nil && len(cfg.Known) > 0 {
@@ -122,7 +131,7 @@
 	n.post(func(time.Duration) {
 		if err != nil {
 			n.count.Add("configurations refused")
-			log.Printf("%s: the old configuration stays: %v", n.cfg.Name, err)
+			n.log.Error("configuration-refused", "reason", err)
 			return
 		}
 		n.reloaded(cfg)
@@ -130,17 +139,18 @@
 }
 
 // reloaded swaps in what has changed. Operations, the list and all that is known of desk hosts stay.
-func (n *Node) reloaded(cfg settings.Config) {
+func (n *Node) reloaded(cfg Terms) {
 	n.count.Add("configurations taken in")
-	log.Printf("%s: configuration taken in, discovery at %s", n.cfg.Name, cfg.Discovery)
+	n.log.Info("configuration-taken", "discovery", cfg.Discovery, "cells", cfg.Plan.Len())
 	if cfg.Listen != n.cfg.Listen || cfg.Admin != n.cfg.Admin || cfg.Name != n.cfg.Name {
-		log.Printf("%s: another name or listening address needs a restart", n.cfg.Name)
+		n.log.Warn("restart-needed", "reason", "another name or listening address")
 		cfg.Listen, cfg.Admin, cfg.Name = n.cfg.Listen, n.cfg.Admin, n.cfg.Name
 	}
 	// What is under way keeps its time, which may be longer than any of the new classes'.
 	cfg.Settings.Deadline = max(cfg.Settings.Deadline, n.cfg.Settings.Deadline)
 	n.adopt(cfg)
 	n.table.Adopt(cfg.Settings.Policy)
+	n.table.Settle(n.now(), func() { n.fleet.Replan(n.now(), cfg.Plan) })
 	if cfg.Discovery != n.pool.address {
 		n.pool.turn(cfg.Discovery)
 	}
@@ -162,7 +172,7 @@
 	go func() {
 		failed <- gnet.Rotate(n, addresses, gnet.WithNumEventLoop(1), gnet.WithReuseAddr(true),
 			gnet.WithTicker(true), gnet.WithReusePort(true), // accepts on the loop: see room
-			gnet.WithLogger(gnetLog{n.cfg.Name, n.stopped}))
+			gnet.WithLogger(gnetLog{n.log, n.stopped}))
 	}()
 	var err error
 	select {
@@ -182,7 +192,7 @@
 
 // gnetLog puts what gnet complains of into our log, until the node ends its listener, of which gnet complains too.
 type gnetLog struct {
-	name    string
+	log     *slog.Logger
 	stopped <-chan struct{}
 }
 
@@ -193,7 +203,7 @@
 	select {
 	case <-l.stopped:
 	default:
-		log.Printf(l.name+": gnet: "+format, args...)
+		l.log.Error("event-loop", "reason", fmt.Sprintf(format, args...))
 	}
 }
 func (l gnetLog) Fatalf(format string, args ...any) { l.Errorf(format, args...) }
@@ -208,7 +218,7 @@
 // one is opened for no other purpose than to start the node there.
 func (n *Node) OnTick() (time.Duration, gnet.Action) {
 	if err := n.ring(); err != nil {
-		log.Printf("start: %v", err)
+		n.log.Error("start-failed", "reason", err)
 		return time.Second, gnet.None
 	}
 	return 24 * time.Hour, gnet.None
@@ -290,11 +300,14 @@
 	n.loop = loop
 	close(n.booted)
 	n.do(func(now time.Duration) {
-		n.table = operation.New(n.cfg.Settings.Policy, n.cfg.Seed, carrier{n}, &n.deadlines, n.count)
+		n.table = operation.New(func(h policy.Host) operation.Module {
+			n.fleet = cells.New(n.cfg.Settings.Policy, n.cfg.Seed, h, n.cfg.Plan)
+			return n.fleet
+		}, carrier{n}, &n.deadlines, n.count)
 		n.learn(n.known)
 		n.table.Members(now, policy.Cached, n.known.Servers())
 		n.delays.next(n, now)
-		log.Printf("%s: ready on %s with %d desk hosts known", n.cfg.Name, n.cfg.Listen, len(n.known.Members))
+		n.log.Info("ready", "listen", n.cfg.Listen, "hosts", len(n.known.Members), "cells", n.cfg.Plan.Len())
 	})
 }
 
@@ -459,7 +472,7 @@
 			return
 		}
 		n.stopping, n.lastOpen = true, max(n.lastOpen, now)
-		log.Printf("%s: draining, %d operations", n.cfg.Name, n.table.Len())
+		n.log.Info("draining", "operations", n.table.Len())
 		n.stepBack()
 		n.drained(now, now+n.cfg.Settings.Deadline+settled)
 	})
--- a/internal/net/pool.go
+++ b/internal/net/pool.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"log"
 	"time"
 
 	"github.com/panjf2000/gnet/v2"
@@ -102,7 +101,7 @@
 	p.drop()
 	p.on = false
 	p.node.count.Add("discovery calls failed")
-	log.Printf("%s: %v", p.node.cfg.Name, err)
+	p.node.log.Warn("discovery-call-failed", "reason", err)
 	p.node.table.Members(now, policy.Failed, nil)
 }
 
--- a/internal/net/scenario_test.go
+++ b/internal/net/scenario_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"log/slog"
 	stdnet "net"
 	"os"
 	"path/filepath"
@@ -18,6 +19,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"tealtiller/internal/operator"
 	"tealtiller/internal/poolconfig"
 	"tealtiller/internal/settings"
 )
@@ -137,7 +139,7 @@
 		if err := os.WriteFile(r.path, []byte(rest), 0o600); err != nil {
 			return err
 		}
-		r.node.Reload(r.source.Load)
+		r.node.Reload(r.load)
 		return nil
 	case who == "wait" && verb == "exit":
 		return r.within(func() error { return <-r.exited })
@@ -307,11 +309,11 @@
 	env["EDGE_CONFIG"] = r.path
 	require.NoError(r.t, os.WriteFile(r.path, []byte(r.config()), 0o600))
 	r.source = settings.NewSource(func(name string) string { return env[name] })
-	cfg, err := r.source.Load()
+	cfg, err := r.load()
 	require.NoError(r.t, err)
 	list, err := poolconfig.Parse(cfg.Known)
 	require.NoError(r.t, err)
-	r.node, r.exited = NewNode(cfg, list, io.Discard, r.folder), make(chan error, 1)
+	r.node, r.exited = NewNode(cfg, list, io.Discard, r.folder, slog.New(slog.DiscardHandler)), make(chan error, 1)
 	r.node.patience = limit // what a busy machine delays is no silence
 	for name, span := range map[string]*time.Duration{"silence": &r.node.silence, "patience": &r.node.patience} {
 		if s, ok := r.set[name]; ok {
@@ -340,6 +342,19 @@
 	})
 }
 
+// load reads the configuration, and the operator's file where the scenario has one.
+func (r *rig) load() (t Terms, err error) {
+	if text := r.set["cells"]; text != "" {
+		file, err := operator.Parse([]byte(strings.ReplaceAll(text, ";", "\n")), "cells")
+		if err != nil {
+			return t, err
+		}
+		t.Plan = file.Cells
+	}
+	t.Config, err = r.source.Load()
+	return t, err
+}
+
 // config is the text of a configuration whose file names a discovery of its own.
 func (r *rig) config() string {
 	set := fmt.Sprintf(`{"allowed":{"tryLimit":%s,"connectTimeout":1000000000,"retryAfter":true,"probing":%s},"discovery":%q,"tick":4000000,"siblings":1,
--- a/internal/net/upgrade.go
+++ b/internal/net/upgrade.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"log"
 	stdnet "net"
 	"os"
 	"path/filepath"
@@ -60,7 +59,7 @@
 		n.await()
 		return
 	}
-	log.Printf("%s: another process serves; this one takes over when that one stops", n.cfg.Name)
+	n.log.Info("joined-running-process")
 	n.leading = false
 	n.share = apprentice
 	n.linked(&link{node: n, conn: c})
@@ -72,7 +71,7 @@
 	_ = os.Remove(path)
 	l, err := stdnet.ListenUnix("unixpacket", &stdnet.UnixAddr{Name: path, Net: "unixpacket"})
 	if err != nil {
-		log.Printf("%s: no new version can take over: %v", n.cfg.Name, err)
+		n.log.Error("takeover-impossible", "reason", err)
 		return
 	}
 	l.SetUnlinkOnClose(false) // danger: by then the file may be the other process's
@@ -89,7 +88,7 @@
 					_ = c.Close()
 					return
 				}
-				log.Printf("%s: a new process has joined", n.cfg.Name)
+				n.log.Info("new-process-joined")
 				n.linked(&link{node: n, conn: c, elder: true})
 				n.shareOut(apprentice)
 			})
@@ -114,7 +113,7 @@
 	l.close()
 	n.link, n.share = nil, 0
 	n.limitMemory()
-	log.Printf("%s: the other process has ended", n.cfg.Name)
+	n.log.Info("other-process-ended")
 	if !n.leading {
 		n.leading = true
 	}
@@ -184,7 +183,7 @@
 			for _, c := range conns {
 				_ = c.Close()
 			}
-			log.Printf("%s: the other process says what this one cannot read", l.node.cfg.Name)
+			l.node.log.Error("other-process-unreadable")
 			break
 		}
 		l.take(m, conns)
@@ -219,7 +218,7 @@
 		case handover.Room:
 			n.share = m.Number
 		case handover.Lead:
-			log.Printf("%s: takes over", n.cfg.Name)
+			n.log.Info("takes-over")
 			n.leading = true
 			n.table.Succeed(now)
 		case handover.Front:
@@ -315,7 +314,7 @@
 	if n.link == nil || !n.leading || !n.link.send(handover.Message{Kind: handover.Lead}) {
 		return
 	}
-	log.Printf("%s: hands over to the new process", n.cfg.Name)
+	n.log.Info("hands-over")
 	n.leading = false
 }
 
--- a/internal/operation/operation.go
+++ b/internal/operation/operation.go
@@ -31,10 +31,27 @@
 	Log(text string)
 }
 
+// Module decides: one policy.Balancer, or several behind one face. It acts through the policy.Host that it was made
+// with, and none of its methods is called while another one is at work.
+type Module interface {
+	Adopt(policy.Settings)
+	Members(now time.Duration, kind policy.MembersKind, entries []policy.Server)
+	Listed(now time.Duration) (listed, avoided int)
+	Request(now time.Duration, q policy.Request)
+	Open(now time.Duration, q policy.Request, server string)
+	First(now time.Duration, id string)
+	Outcome(now time.Duration, id string, result policy.Result, over bool)
+	Gone(now time.Duration, id string)
+	Note(now time.Duration, id string, kind policy.NoteKind, level float64)
+	Delay(now time.Duration, server string, delay time.Duration)
+	Succeed(now time.Duration)
+	Wake(now time.Duration, name int64)
+}
+
 // Table holds all operations of a balancer.
 type Table struct {
 	carrier   Carrier
-	module    *policy.Balancer
+	module    Module
 	deadlines *deadline.Queue
 	count     counters.Set
 	ops       slot.Table[*operation]
@@ -58,13 +75,20 @@
 }
 
 // New makes an empty table with a module that starts from nothing.
-func New(set policy.Settings, seed uint64, carrier Carrier, q *deadline.Queue, count counters.Set) *Table {
+func New(module func(policy.Host) Module, carrier Carrier, q *deadline.Queue, count counters.Set) *Table {
 	t := &Table{carrier: carrier, deadlines: q, count: count, open: map[string]slot.ID{},
 		ends: map[string]counters.Ends{}}
-	t.module = policy.New(set, seed, host{t})
+	t.module = module(host{t})
 	return t
 }
 
+// Settle carries out what the module has asked for in a call that its owner made past the table.
+func (t *Table) Settle(now time.Duration, call func()) {
+	t.now = now
+	call()
+	t.settle()
+}
+
 // Adopt has the module go on by other settings.
 func (t *Table) Adopt(set policy.Settings) { t.module.Adopt(set) }
 
--- a/internal/operation/operation_test.go
+++ b/internal/operation/operation_test.go
@@ -27,7 +27,7 @@
 	b := &bench{dead: map[string]bool{}}
 	set := policy.Settings{MaxAttempts: 6, Tick: time.Millisecond, Fall: time.Second,
 		Classes: map[string]policy.Class{"c": {Aim: 300 * time.Millisecond, MessageAim: 50 * time.Millisecond}}}
-	b.Table = New(set, 7, b, &b.q, counters.Set{})
+	b.Table = New(func(h policy.Host) Module { return policy.New(set, 7, h) }, b, &b.q, counters.Set{})
 	var list []policy.Server
 	for _, s := range servers {
 		list = append(list, policy.Server{ID: s, State: policy.Ready, Weight: 1})
--- /dev/null
+++ b/lab/move.hcl
@@ -0,0 +1,22 @@
+# A carrier with over 300 standing connections changes its cell under load; in the midst of it a desk host drains and
+# a balancer is restarted. `make prove-move` plays it.
+duration  = "48s"
+settle    = "8s"
+balancers = 3
+hosts     = 12
+per_core  = 40
+opens     = 60
+life      = "40s"
+flights   = 12
+operator  = "move-operator.hcl"
+
+fault "drain" {
+  at   = "25s"
+  for  = "6s"
+  part = 0.25
+  cell = "large"
+}
+
+fault "restart" {
+  at = "26s"
+}
--- a/policy/api.go
+++ b/policy/api.go
@@ -105,6 +105,8 @@
 	MidFlow bool
 	// Returned marks a client that is back after its connection broke or was moved.
 	Returned bool
+	Tenant   string // whom the client belongs to; it decides nothing here
+	Made     int    // attempts that another instance has made already
 }
 
 // Result is how an attempt ended.
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -424,6 +424,22 @@
 	}
 }
 
+// Drop takes a server off the list, as another instance serves it from now on; what stands there goes on.
+func (b *Balancer) Drop(id string) {
+	if s := b.servers[id]; s != nil {
+		s.State = Gone
+		b.list = slices.DeleteFunc(b.list, func(o *server) bool { return o == s })
+		b.changed = true
+	}
+}
+
+// Join takes a server that another instance served until now, and may just have spent its cold budget.
+func (b *Balancer) Join(now time.Duration, e Server) {
+	b.learn(now, e)
+	s := b.server(e.ID)
+	s.budget, s.drawn, s.luck, s.told = 0, now, 1, now-b.set.DrainGrace // told elsewhere, perhaps long ago
+}
+
 // usual is how many of our connections a server of size 1 bears when warm; at least our part of one.
 func (b *Balancer) usual(now time.Duration) float64 {
 	if now-b.usualAt >= b.set.Fall {
@@ -457,7 +473,8 @@
 		text = strconv.FormatUint(q.Key, 10)
 	}
 	r := &request{id: q.ID, class: b.set.Classes[q.Class], hash: carpHash(text), midFlow: q.MidFlow,
-		returned: q.Returned, deadline: now + q.TTL, patient: now + q.TTL/2, most: b.set.MaxAttempts}
+		returned: q.Returned, deadline: now + q.TTL, patient: now + q.TTL/2, attempts: q.Made,
+		most: b.set.MaxAttempts}
 	b.reqs[q.ID] = r
 	b.see(r.hash)
 	return r
