--- a/internal/lab/experiment.go
+++ b/internal/lab/experiment.go
@@ -36,9 +36,9 @@
 }
 
 // Fault is one thing that goes wrong. Kinds: crash (part of the hosts, of one cell where named; back cold), errors
-// (the same, failing a share of openings), hot-key (further traffic, a share of all, under one key of a carrier),
+// (the same, failing a share of openings), hot-key (further traffic, a share of all, under one key of a carrier, each weighing size times as much),
 // heavy (a carrier's connections weigh size times as much), deploy (hosts drain, end and are replaced), discovery
-// (out of reach), drop (a share of a carrier's clients, or of all, drop and come again), drain (one host of a cell),
+// (out of reach), drop (a share of a carrier's clients, or of all, drop and come again), drain (part of the hosts drain and leave; with a size they are replaced),
 // restart (one balancer, by SIGTERM and SIGKILL).
 type Fault struct {
 	Kind    string  `hcl:"kind,label"`
@@ -217,7 +217,7 @@
 				break
 			}
 			a := draw(at)
-			a.group, a.extra = key, true
+			a.group, a.extra, a.load = key, true, a.load*max(f.Size, 1)
 			out = append(out, a)
 		}
 	}
--- a/internal/lab/machine.go
+++ b/internal/lab/machine.go
@@ -46,9 +46,10 @@
 	warmAfter    = 22 * time.Second
 	fallMultiple = 3
 	fallAfter    = time.Second
-	groupLoads   = 3 // that each host holding part of a flight pays
-	setupWork    = 3 * time.Millisecond
-	message      = 5 * time.Millisecond // a message at an idle host of speed 1
+	groupLoads   = 3                     // that each host holding part of a flight pays
+	setupWork    = 3 * time.Millisecond  // on all cores
+	setup        = 12 * time.Millisecond // until a connection is up, at an idle host of speed 1
+	message      = 5 * time.Millisecond  // a message at an idle host of speed 1
 	messageAim   = 50 * time.Millisecond
 	nearFull     = 0.92
 )
@@ -105,7 +106,7 @@
 
 // Setup is how long it takes to bring a connection up now.
 func (m *Machine) Setup(now time.Duration) time.Duration {
-	return m.backlog + time.Duration(float64(setupWork)/m.Speed/(1-min(m.X0(now), nearFull)))
+	return m.backlog + time.Duration(float64(setup)/m.Speed/(1-min(m.X0(now), nearFull)))
 }
 
 // Slow is for how long messages have taken over the aim, in all.
