Move a carrier's connections by where they stand, not by who placed them

Need: a scenario of a takeover in the midst of a move waited for a MOVE in vain on one host and, with another file, saw one that was needless. The cell of a connection was that of the module that had placed it, but its desk host may have changed its cell since.

The mover now asks for the cell of the desk host, leaves alone what already stands where its flight is to come, and what a cell's flight keys keep.

--- a/internal/cells/fleet.go
+++ b/internal/cells/fleet.go
@@ -81,7 +81,8 @@
 	from     *cell // the cell that it overflowed from
 	deadline time.Duration
 	attempts int
-	out      bool // an attempt, or the connection that it brought up
+	server   string // of the last attempt
+	out      bool   // an attempt, or the connection that it brought up
 	stands   bool
 	gone     bool
 	astray   bool // mid-flow, tried first in a cell that is not its home
@@ -560,7 +561,7 @@
 		c = f.root
 	}
 	e := f.enter(q, c, nil, now)
-	e.attempts, e.out = 1, true
+	e.attempts, e.out, e.server = 1, true, server
 	f.stand(e)
 	c.module.Open(now, q, server)
 }
@@ -665,7 +666,7 @@
 			back, ends = ends, back
 		}
 		for _, e := range f.movers[m.Carrier] {
-			if e.cell == back && back != ends && !e.told {
+			if f.where(e) == back && back != ends && !e.told && e.from == nil {
 				left[back]++
 			}
 		}
@@ -730,10 +731,14 @@
 		from, to := f.named(m.From), f.named(m.To)
 		var due []*entry
 		for _, e := range f.movers[m.Carrier] {
-			if e.told || e.cell != from && e.cell != to || e.from != nil {
+			if e.told || e.from != nil {
 				continue
 			}
-			if home, _, _ := f.plan.home(now, m.Carrier, e.q.Key); home != e.cell.name {
+			// What stands where its flight is to come stays, also early; so does what the flight keys of a cell keep.
+			at := f.where(e)
+			home, _, _ := f.plan.home(now, m.Carrier, e.q.Key)
+			back := m.Back > 0 && now >= m.Back && at == to && home == m.From
+			if at == from && home == m.To || back {
 				due = append(due, e)
 			}
 		}
@@ -751,9 +756,17 @@
 	f.tickBy(now, now+moveEvery)
 }
 
+// where is the cell in which a connection stands: its desk host's, which may have changed since it was placed.
+func (f *Fleet) where(e *entry) *cell {
+	if c := f.owners[e.server]; c != nil {
+		return c
+	}
+	return e.cell
+}
+
 func (f *Fleet) send(m *Move, due []*entry, span time.Duration) {
 	target := f.named(m.To)
-	if due[0].cell == target {
+	if f.where(due[0]) == target {
 		target = f.named(m.From)
 	}
 	if none := target.hosts == 0; none != f.paused[m.Carrier] {
@@ -782,7 +795,7 @@
 // Send starts an attempt.
 func (c *cell) Send(request, server string, timeout time.Duration) {
 	if e := c.fleet.entries[request]; e != nil {
-		e.out = true
+		e.out, e.server = true, server
 		e.attempts++
 	}
 	c.fleet.host.Send(request, server, timeout)
--- a/internal/cells/fleet_test.go
+++ b/internal/cells/fleet_test.go
@@ -487,3 +487,20 @@
 	}
 	assert.Equal(t, run(false), run(true))
 }
+
+// What stands at a desk host that has come to the cell where its flight belongs is there already, and is not moved.
+func TestWhoseHostCameAlongIsNotMoved(t *testing.T) {
+	plan := &Plan{Default: "a", Cells: []Cell{{Name: "a", IDs: []string{"s-0000"}}, {Name: "b", IDs: []string{"s-0001"}}}}
+	w := newWorld(t, settings(), plan)
+	w.fleet.Members(t0, policy.Full, hosts(2))
+	w.up(t0, "r", "x", 1)
+	turned := &Plan{Default: "a", Cells: []Cell{{Name: "a", IDs: []string{"s-0001"}}, {Name: "b", IDs: []string{"s-0000"}}},
+		Moves: []Move{{Carrier: "x", From: "a", To: "b", Start: t0, Span: time.Second}}}
+	w.fleet.Replan(t0, turned)
+	for now := t0; now < t0+5*time.Second; now += 50 * time.Millisecond {
+		w.tick(now)
+	}
+	assert.Empty(t, w.moved)
+	assert.NotEmpty(t, w.open(t0+5*time.Second, "s", "x", 1))
+	assert.Equal(t, "s-0000", w.lastSent)
+}
--- /dev/null
+++ b/internal/lab/lab_test.go
@@ -0,0 +1,121 @@
+package lab
+
+import (
+	"encoding/json"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+func TestTheExperimentsAreGood(t *testing.T) {
+	files, err := filepath.Glob("../../lab/[a-z]*.hcl")
+	require.NoError(t, err)
+	played := 0
+	for _, f := range files {
+		if ok, _ := filepath.Match("*-operator.hcl", filepath.Base(f)); ok {
+			continue
+		}
+		_, err := Load(f)
+		assert.NoError(t, err, f)
+		played++
+	}
+	assert.Equal(t, 3, played)
+}
+
+func spec() Spec {
+	return Spec{ID: "s", Cores: 3, Speed: 1, PerCore: 10, Most: 100}
+}
+
+// A cold host bears its warmth's part; driven at over three times that for a second it falls and stays down.
+func TestAColdHostFallsWhenOverdriven(t *testing.T) {
+	for _, load := range []float64{4, 30} {
+		m := NewMachine(spec(), time.Second)
+		now := time.Hour
+		m.Stop(now)
+		m.Start(now)
+		assert.InDelta(t, 4.5, m.Capacity(now), 0.01)
+		for range 3 {
+			assert.Equal(t, Taken, m.Open(now, load/3, 0, 1))
+		}
+		for range 20 {
+			now += 100 * time.Millisecond
+			m.Advance(now)
+		}
+		assert.Equal(t, load == 30, m.Fallen)
+		m.Start(now)
+		assert.Equal(t, load != 30, m.Up)
+	}
+}
+
+// A flight costs three loads on each host that holds a part of it, once; work beyond capacity piles up.
+func TestLoadOfFlightsAndBacklog(t *testing.T) {
+	m := NewMachine(spec(), time.Second)
+	now := time.Hour
+	m.Advance(now)
+	for range 4 {
+		m.Open(now, 1, 7, 1)
+	}
+	assert.InDelta(t, 7.0/30, m.X0(now), 1e-9)
+	m.Open(now, 53, 8, 1)
+	idle := m.Message(now)
+	m.Advance(now + 2*time.Second)
+	assert.InDelta(t, 2.2, (m.Message(now+2*time.Second) - idle).Seconds(), 0.01, "twice its capacity for 2 s")
+	m.Close(now+2*time.Second, 53, 8)
+	assert.InDelta(t, 7.0/30, m.X0(now), 1e-9)
+	for range 200 {
+		m.Open(now+2*time.Second, 0.001, 7, 1)
+	}
+	assert.Equal(t, Full, m.Open(now+2*time.Second, 1, 7, 1))
+	m.ErrorRate = 1
+	assert.Equal(t, Fails, m.Open(now+2*time.Second, 1, 7, 0.5))
+}
+
+func small(faults ...Fault) *Experiment {
+	e := &Experiment{Duration: "20s", Balancers: 3, Hosts: 24, PerCore: 150, Opens: 100, Life: "8s", Flights: 5, Settle: "0s",
+		Carriers: 4, Cells: 4, Faults: faults}
+	e.Plan = e.even()
+	return e
+}
+
+// Virtual time gives the same bytes for the same seed, and others for another one; each fault keeps the rules, and
+// leaves the other cells unharmed.
+func TestVirtualTime(t *testing.T) {
+	run := func(f Fault, seed uint64, cells bool) (Harm, string) {
+		h := NewVirtual(small(f), seed, cells).Run()
+		h.Busy = 0
+		text, err := json.Marshal(h)
+		require.NoError(t, err)
+		return h, string(text)
+	}
+	for _, f := range []Fault{
+		{Kind: "heavy", At: "5s", For: "10s", Size: 12, Carrier: "air-00"},
+		{Kind: "hot-key", At: "5s", For: "10s", Part: 0.25, Carrier: "air-00"},
+		{Kind: "crash", At: "5s", For: "6s", Part: 0.25, Cell: "cell-00"},
+		{Kind: "errors", At: "5s", For: "6s", Part: 0.25, Size: 0.7, Cell: "cell-00"},
+		{Kind: "deploy", At: "5s", For: "10s", Part: 0.9, Cell: "cell-00"},
+		{Kind: "drop", At: "5s", For: "1s", Part: 0.5, Carrier: "air-00"},
+	} {
+		h, text := run(f, 1, true)
+		_, again := run(f, 1, true)
+		assert.Equal(t, text, again, f.Kind)
+		assert.Equal(t, [5]int{}, [5]int{h.Lost, h.Doubled, h.Foreign, h.Fallen, h.Others.Harmed}, f.Kind)
+		assert.Greater(t, h.Others.Connections, 1000, f.Kind)
+		_, other := run(f, 2, true)
+		assert.NotEqual(t, text, other, f.Kind)
+	}
+	without, _ := run(Fault{Kind: "heavy", At: "5s", For: "10s", Size: 30, Carrier: "air-00"}, 1, false)
+	assert.Positive(t, without.Others.Harmed, "the contrast is there")
+}
+
+func TestChurnMovesFew(t *testing.T) {
+	e := small()
+	e.Hosts = 200
+	e.Plan = e.even()
+	changes, moved, least, _ := Churn(e, 1, 0.1)
+	assert.Equal(t, 40, changes)
+	assert.LessOrEqual(t, least, moved)
+	assert.Less(t, moved, 2*changes)
+}
--- /dev/null
+++ b/internal/operator/operator_test.go
@@ -0,0 +1,112 @@
+package operator
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+const good = `cells {
+  default = "a"
+  cell "a" {
+    share    = 0.5
+    guests   = 3
+    carriers = ["x"]
+    flights  = ["5c0f", "100-1ff"]
+  }
+  cell "b" {
+    share            = 0.5
+    connections      = 10
+    opens_per_second = 2.5
+    overflow_to      = "a"
+  }
+  move "x" {
+    from  = "a"
+    to    = "b"
+    start = "2026-12-01T15:00:00Z"
+    span  = "10m"
+    back  = "2026-12-01T15:05:00Z"
+  }
+}
+`
+
+func TestAGoodFile(t *testing.T) {
+	f, err := Parse([]byte(good), "f.hcl")
+	require.NoError(t, err)
+	require.Len(t, f.Cells.Cells, 2)
+	assert.Equal(t, uint64(0x1ff), f.Cells.Cells[0].Flights[1].High)
+	assert.Equal(t, 2.5, f.Cells.Cells[1].OpensPerSecond)
+	assert.Equal(t, []time.Duration{time.Minute, 10 * time.Minute, 5 * time.Minute},
+		[]time.Duration{f.Cells.Keep, f.Cells.Moves[0].Span, f.Cells.Moves[0].Back - f.Cells.Moves[0].Start})
+	f, err = Parse(nil, "empty.hcl")
+	require.NoError(t, err)
+	assert.Nil(t, f.Cells)
+}
+
+// What is wrong is told with file, line, column and reason, and all of it.
+func TestMistakesAreToldWhereTheyAre(t *testing.T) {
+	for _, mistake := range [][3]string{
+		{`guests   = 3`, `guests   = "many"`, "f.hcl:5:"},
+		{`carriers = ["x"]`, `cariers = ["x"]`, `f.hcl:6:5: Unsupported argument`},
+		{`["5c0f", `, `["5c0g", `, `f.hcl:7:16: cell "a": flight "5c0g"`},
+		{`share            = 0.5`, `share = 0.6`, `f.hcl:10:13: cell "b": the shares of all cells come to 1.1, over 1`},
+		{`connections      = 10`, `connections = 0`, `f.hcl:11:19: cell "b": want a figure above 0`},
+		{`overflow_to      = "a"`, `overflow_to = "c"`, `f.hcl:13:19: cell "b": there is no cell "c"`},
+		{`default = "a"`, `default = "z"`, `f.hcl:2:13: there is no cell "z"`},
+		{`"10m"`, `"soon"`, `f.hcl:19:13: move "x": want a span`},
+		{`"2026-12-01T15:05:00Z"`, `"2026-12-01T14:05:00Z"`, `f.hcl:20:13: move "x": it is not after the start`},
+		{`cell "b" {`, `cell "a" {`, `f.hcl:9:3: cell "a": a second cell of this name`},
+		{`move "x" {`, `move {`, `f.hcl:15:8: `},
+		{"}\n}\n", "}\n", "f.hcl:"},
+	} {
+		text := strings.Replace(good, mistake[0], mistake[1], 1)
+		require.NotEqual(t, good, text)
+		_, err := Parse([]byte(text), "f.hcl")
+		var all Error
+		require.ErrorAs(t, err, &all, mistake[1])
+		assert.True(t, strings.HasPrefix(all[0], mistake[2]), "%s: %s", mistake[1], all[0])
+	}
+	_, err := Parse([]byte(strings.NewReplacer(`"10m"`, `"soon"`, `0.5`, `0.9`, `["x"]`, `["x", "x"]`).Replace(good)), "f.hcl")
+	var all Error
+	require.ErrorAs(t, err, &all)
+	assert.Len(t, all, 3)
+	assert.ErrorContains(t, err, "2 more")
+}
+
+func TestTheExampleIsGood(t *testing.T) {
+	f, err := Load("../../deploy/operator.hcl")
+	require.NoError(t, err)
+	assert.Equal(t, 3, f.Cells.Len())
+	_, err = Load(filepath.Join(t.TempDir(), "none.hcl"))
+	assert.ErrorContains(t, err, "no such file")
+	large := filepath.Join(t.TempDir(), "large.hcl")
+	require.NoError(t, os.WriteFile(large, make([]byte, mostBytes+1), 0o600))
+	_, err = Load(large)
+	assert.ErrorContains(t, err, "at most")
+}
+
+// Whatever the text, a file is refused with a place or is a plan that has nothing wrong in it.
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(good))
+	f.Add([]byte(`cells { default = "a"` + "\n" + `cell "a" { numbers = [1, 2] } }`))
+	f.Add([]byte("cells {\n default = null\n}"))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		file, err := Parse(text, "f.hcl")
+		if err != nil {
+			var all Error
+			require.ErrorAs(t, err, &all)
+			for _, line := range all {
+				assert.True(t, strings.HasPrefix(line, "f.hcl:"), line)
+			}
+			return
+		}
+		if file.Cells != nil {
+			assert.Empty(t, file.Cells.Check())
+		}
+	})
+}
