--- a/cmd/lab/main.go
+++ b/cmd/lab/main.go
@@ -91,6 +91,9 @@
 	if err != nil {
 		return err
 	}
+	if err := exp.InVirtualTime(); err != nil {
+		return err
+	}
 	harm := lab.NewVirtual(exp, c.Seed, !c.NoCells).Run()
 	harm.Busy = 0 // the same bytes for the same seed
 	return json.NewEncoder(out).Encode(harm)
--- a/cmd/tealtiller/check.go
+++ b/cmd/tealtiller/check.go
@@ -83,11 +83,11 @@
 	dealt := plan.Deal(list.Servers())
 	for _, c := range plan.Cells {
 		var hosts []string
-		size, rooms := 0.0, map[string]int{}
+		count, size, rooms := 0, 0.0, map[string]int{}
 		for _, m := range list.Members {
 			if dealt[m.ID] == c.Name {
 				hosts = append(hosts, m.ID)
-				size += m.Weight
+				count, size = count+1, size+m.Weight
 				rooms[m.Zone+" "+m.Kind]++
 			}
 		}
@@ -96,7 +96,10 @@
 		if c.Name == plan.Default {
 			carriers = append(slices.Clone(carriers), "and all others")
 		}
-		fmt.Fprintf(w, "cell %s\t%d hosts, size %.4g\t%s\n", c.Name, len(hosts), size, strings.Join(hosts, " "))
+		if len(hosts) == 0 {
+			hosts = []string{"(none: it refuses whom it cannot pass on)"}
+		}
+		fmt.Fprintf(w, "cell %s\t%d hosts, size %.4g\t%s\n", c.Name, count, size, strings.Join(hosts, " "))
 		fmt.Fprintf(w, "\tspread\t%v\n\tcarriers\t%s\n", rooms, strings.Join(carriers, " "))
 		for _, r := range c.Flights {
 			fmt.Fprintf(w, "\tflights\t%x to %x\n", r.Low, r.High)
--- a/cmd/tealtiller/main.go
+++ b/cmd/tealtiller/main.go
@@ -63,7 +63,7 @@
 }
 
 type serve struct {
-	Operator string `type:"path" env:"EDGE_OPERATOR" help:"The operator's own file; without one all in it is off."`
+	Operator string `env:"EDGE_OPERATOR" help:"The operator's own file; without one all in it is off."`
 }
 
 // Run serves until the node has drained or its listener fails.
--- a/internal/cells/fleet.go
+++ b/internal/cells/fleet.go
@@ -202,6 +202,7 @@
 		return
 	}
 	f.host.Log(fmt.Sprintf("cells: a plan of %d cells and %d moves is in force", len(plan.Cells), len(plan.Moves)))
+	f.tickAt = 0
 	f.tickBy(now, now)
 }
 
@@ -440,7 +441,7 @@
 // refusal tells whether a cell takes nothing new now, and for how long about; 0 if it does.
 func (f *Fleet) refusal(now time.Duration, c *cell) time.Duration {
 	switch {
-	case c.hosts == 0:
+	case c.hosts == 0 && !f.set.OnlyDrainingBinds: // else the module may know better than the list
 		c.count.NoHost++
 		return f.away()
 	case c.limits.Connections > 0 && c.open >= f.part(c.limits.Connections):
@@ -688,8 +689,10 @@
 // Wake does what has fallen due.
 func (f *Fleet) Wake(now time.Duration, name int64) {
 	if name == timerMoves {
-		f.tickAt = 0
-		f.move(now)
+		if f.tickAt > 0 && now >= f.tickAt { // else of a plan that is no longer in force
+			f.tickAt = 0
+			f.move(now)
+		}
 		return
 	}
 	if name == timerDeal {
@@ -704,8 +707,10 @@
 	}
 }
 
-// moveEvery is how often connections are looked at that are to follow their flight.
-const moveEvery = 100 * time.Millisecond
+// moveEvery is how often connections are looked at that are to follow their flight. They follow only after clocks, the
+// most by which balancers' clocks may differ. Danger: a client that was told by one balancer would come again to
+// another one for which its flight has not crossed yet, and be told a second time.
+const moveEvery, clocks = 100 * time.Millisecond, 500 * time.Millisecond
 
 func (f *Fleet) tickBy(now, at time.Duration) {
 	if f.plan == nil || len(f.plan.Moves) == 0 {
@@ -736,7 +741,10 @@
 			}
 			// What stands where its flight is to come stays, also early; so does what the flight keys of a cell keep.
 			at := f.where(e)
-			home, _, _ := f.plan.home(now, m.Carrier, e.q.Key)
+			home, _, since := f.plan.home(now, m.Carrier, e.q.Key)
+			if now-since < clocks {
+				continue
+			}
 			back := m.Back > 0 && now >= m.Back && at == to && home == m.From
 			if at == from && home == m.To || back {
 				due = append(due, e)
--- a/internal/cells/fleet_test.go
+++ b/internal/cells/fleet_test.go
@@ -504,3 +504,34 @@
 	assert.NotEmpty(t, w.open(t0+5*time.Second, "s", "x", 1))
 	assert.Equal(t, "s-0000", w.lastSent)
 }
+
+// Two balancers whose clocks are 200 ms apart: a client that the one tells to move comes to the other one at once, and
+// is in its new cell there, not to be told again.
+func TestClocksThatDiffer(t *testing.T) {
+	plan := even(2)
+	plan.Moves = []Move{{Carrier: "air-1", From: "c1", To: "c0", Start: t0 + time.Second, Span: 4 * time.Second}}
+	const behind = 200 * time.Millisecond
+	ahead, late := newWorld(t, settings(), plan), newWorld(t, settings(), plan)
+	for _, w := range []*world{ahead, late} {
+		w.fleet.Members(t0, policy.Full, hosts(8))
+	}
+	for i := range 100 {
+		ahead.up(t0, fmt.Sprintf("r%d", i), "air-1", uint64(i))
+	}
+	told := 0
+	for now := t0; now < t0+10*time.Second; now += 20 * time.Millisecond {
+		before := len(ahead.moved)
+		ahead.tick(now)
+		late.tick(now - behind)
+		for _, id := range ahead.moved[before:] {
+			ahead.end(now, id)
+			var flight uint64
+			_, _ = fmt.Sscanf(id, "r%d", &flight)
+			s := late.up(now-behind, id, "air-1", flight)
+			assert.Equal(t, "c0", late.fleet.owners[s].name)
+			told++
+		}
+	}
+	assert.Equal(t, 100, told)
+	assert.Empty(t, late.moved)
+}
--- a/internal/cells/plan.go
+++ b/internal/cells/plan.go
@@ -142,8 +142,9 @@
 	return strings.TrimSpace(fmt.Sprintf("%s %s %s", p.Block, p.Label, p.Attribute)) + ": " + p.Reason
 }
 
-// mostCells bounds a plan: each cell has a decision module of its own, in each balancer's memory.
-const mostCells = 256
+// Bounds of a plan: each cell has a decision module of its own, in each balancer's memory; each request is held
+// against all ranges of flights.
+const mostCells, mostFlights = 256, 1024
 
 // Check tells everything that is wrong with a plan.
 func (p *Plan) Check() (all []Problem) {
@@ -160,6 +161,9 @@
 	for i := range p.Cells {
 		c.cell(&p.Cells[i])
 	}
+	if len(c.flights) > mostFlights {
+		c.say("", "", "", "%d keys or ranges of flights; at most %d", len(c.flights), mostFlights)
+	}
 	if p.Default == "" {
 		c.say("", "", "default", "no default cell is named")
 	} else if c.names[p.Default] == nil {
--- a/internal/lab/experiment.go
+++ b/internal/lab/experiment.go
@@ -146,6 +146,16 @@
 	return nil
 }
 
+// InVirtualTime tells what speaks against playing it there: balancers and discovery have no process to end.
+func (e *Experiment) InVirtualTime() error {
+	for _, f := range e.Faults {
+		if f.Kind == "restart" || f.Kind == "discovery" {
+			return fmt.Errorf("fault %q is played on sockets only", f.Kind)
+		}
+	}
+	return nil
+}
+
 // span reads a span that check has seen.
 func span(text string) time.Duration {
 	d, _ := time.ParseDuration(text)
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"os/exec"
 	"path/filepath"
 	"testing"
 	"time"
@@ -119,3 +120,22 @@
 	assert.LessOrEqual(t, least, moved)
 	assert.Less(t, moved, 2*changes)
 }
+
+// A few seconds on sockets, against a real balancer: each open has one answer, none went to a foreign host, also as a
+// host drains, others are replaced and a balancer is restarted. How fast it all was is no matter here.
+func TestOnSockets(t *testing.T) {
+	folder := t.TempDir()
+	binary := filepath.Join(folder, "tealtiller")
+	out, err := exec.Command("go", "build", "-o", binary, "tealtiller/cmd/tealtiller").CombinedOutput()
+	require.NoError(t, err, string(out))
+	e := &Experiment{Duration: "7s", Balancers: 2, Hosts: 8, PerCore: 300, Opens: 25, Life: "3s", Flights: 4, Settle: "0s",
+		Dir: "../../lab", Operator: "cells-operator.hcl", Faults: []Fault{{Kind: "hot-key", At: "1s", For: "3s", Part: 0.2, Size: 2, Carrier: "dyfed-air"},
+			{Kind: "deploy", At: "1s", For: "2s", Part: 0.5, Cell: "large"}, {Kind: "restart", At: "500ms"}, {Kind: "drop", At: "2s", Part: 0.3}}}
+	s, err := NewSockets(e, 1, true, binary, folder)
+	require.NoError(t, err)
+	defer s.Close()
+	o := s.Run()
+	assert.Equal(t, [4]int{}, [4]int{o.Doubled, o.TwoInFlight, o.Foreign, o.Crashed})
+	assert.LessOrEqual(t, o.MostAttempts, 6)
+	assert.Greater(t, o.Served, 50)
+}
--- a/internal/lab/prove.go
+++ b/internal/lab/prove.go
@@ -1,7 +1,9 @@
 package lab
 
 import (
+	"encoding/json"
 	"fmt"
+	"maps"
 	"math"
 	"os"
 	"path/filepath"
@@ -11,10 +13,17 @@
 
 // Verdict is the figures of a proof, and which of its promises were broken.
 type Verdict struct {
-	Proof   string         `json:"proof"`
-	Seed    uint64         `json:"seed"`
-	Figures map[string]any `json:"figures"`
-	Broken  []string       `json:"broken"`
+	Proof   string
+	Seed    uint64
+	Figures map[string]any
+	Broken  []string
+}
+
+// MarshalJSON has all in one object.
+func (v *Verdict) MarshalJSON() ([]byte, error) {
+	out := map[string]any{"proof": v.Proof, "seed": v.Seed, "broken": append([]string{}, v.Broken...)}
+	maps.Copy(out, v.Figures)
+	return json.Marshal(out)
 }
 
 func (v *Verdict) must(kept bool, format string, args ...any) {
@@ -154,6 +163,9 @@
 	if err != nil {
 		return nil, nil, err
 	}
+	if err := exp.InVirtualTime(); err != nil {
+		return nil, nil, err
+	}
 	began := time.Now()
 	out := make([]Sized, len(sizeFaults))
 	jobs, done := make(chan func()), sync.WaitGroup{}
--- a/internal/lab/sockets.go
+++ b/internal/lab/sockets.go
@@ -636,8 +636,6 @@
 	s.mu.Lock()
 	hit, until := f.hit(s.rng, s.specs, s.cellOf), span(f.For)
 	s.mu.Unlock()
-	s.clients.Add(1)
-	defer s.clients.Done()
 	switch f.Kind {
 	case "crash":
 		for _, spec := range hit {
@@ -668,6 +666,20 @@
 				s.back(spec)
 			}
 		}
+	case "deploy": // in five batches; each host drains for 4 s, leaves, and is back, cold, a second later
+		batch := max(len(hit)/5, 1)
+		for len(hit) > 0 {
+			now := hit[:min(batch, len(hit))]
+			hit = hit[len(now):]
+			s.clients.Add(1)
+			go func() {
+				defer s.clients.Done()
+				s.replace(now)
+			}()
+			if !s.sleep(until / 5) {
+				return
+			}
+		}
 	case "errors", "heavy":
 		size := map[bool]float64{true: f.Size}
 		for _, on := range []bool{true, false} {
@@ -709,6 +721,25 @@
 	}
 }
 
+// replace drains hosts, ends them and brings them back.
+func (s *Sockets) replace(specs []Spec) {
+	for _, spec := range specs {
+		s.tell(spec.ID, policy.Draining)
+	}
+	if !s.sleep(4 * time.Second) {
+		return
+	}
+	for _, spec := range specs {
+		s.hosts[spec.ID].end()
+		s.tell(spec.ID, policy.Gone)
+	}
+	if s.sleep(time.Second) {
+		for _, spec := range specs {
+			s.back(spec)
+		}
+	}
+}
+
 func (s *Sockets) back(spec Spec) {
 	h := s.hosts[spec.ID]
 	if err := h.listen(); err != nil {
@@ -744,7 +775,9 @@
 	}
 	for _, f := range s.exp.Faults {
 		if f.Kind != "hot-key" {
+			s.clients.Add(1)
 			go func() {
+				defer s.clients.Done()
 				if s.sleep(time.Until(s.began.Add(span(f.At)))) {
 					s.fault(f)
 				}
--- a/internal/lab/virtual.go
+++ b/internal/lab/virtual.go
@@ -399,6 +399,17 @@
 			v.at(v.now+batch+4*time.Second, func() { v.stop(s) })
 			v.at(v.now+batch+5*time.Second, func() { v.back(s) })
 		}
+	case "drain":
+		for _, s := range hit {
+			v.news(0, v.server(s, policy.Draining))
+			v.at(v.now+until, func() {
+				v.stop(s)
+				v.news(0, v.server(s, policy.Gone))
+				if f.Size > 0 {
+					v.at(v.now+time.Second, func() { v.back(s) })
+				}
+			})
+		}
 	case "errors":
 		for _, s := range hit {
 			v.machines[s.ID].ErrorRate = f.Size
