--- a/cmd/lab/main.go
+++ b/cmd/lab/main.go
@@ -167,7 +167,7 @@
 		return err
 	}
 	if c.Plot != "" && sized != nil {
-		if err := lab.PlotSizes(filepath.Join(c.Plot, "cells-size.svg"), sized); err != nil {
+		if err := lab.PlotSizes(filepath.Join(c.Plot, "cells-others.svg"), filepath.Join(c.Plot, "cells-stricken.svg"), sized); err != nil {
 			return err
 		}
 	}
--- a/internal/lab/sockets.go
+++ b/internal/lab/sockets.go
@@ -446,7 +446,9 @@
 	if err != nil {
 		return err
 	}
+	h.lab.mu.Lock()
 	h.l, h.address = l, l.Addr().String()
+	h.lab.mu.Unlock()
 	go func() {
 		for {
 			c, err := l.Accept()
@@ -461,9 +463,9 @@
 
 // end stops the process: connections are reset.
 func (h *standIn) end() {
-	_ = h.l.Close()
 	h.lab.mu.Lock()
 	defer h.lab.mu.Unlock()
+	_ = h.l.Close()
 	for c := range h.conns {
 		reset(c)
 	}
