Say once what the tests of the Fleet and of virtual time said twice

Need: a list of methods stood twice in one test, the six faults in a test and in the proof, and a field of the lab was never read.

The test calls module and Fleet directly, and plays the proof's own faults at its own times; the field is gone.

--- a/internal/cells/fleet_test.go
+++ b/internal/cells/fleet_test.go
@@ -110,18 +110,6 @@
 		module := policy.New(settings(), 7, one)
 		w := newWorld(t, settings(), nil)
 		list, now := hosts(6), t0
-		both := func(f func(m interface {
-			Members(time.Duration, policy.MembersKind, []policy.Server)
-			Request(time.Duration, policy.Request)
-			First(time.Duration, string)
-			Outcome(time.Duration, string, policy.Result, bool)
-			Gone(time.Duration, string)
-			Delay(time.Duration, string, time.Duration)
-			Wake(time.Duration, int64)
-		})) {
-			f(module)
-			f(w.fleet)
-		}
 		for i := range rapid.IntRange(5, 60).Draw(t, "steps") {
 			now += time.Duration(rapid.IntRange(0, 400).Draw(t, "ms")) * time.Millisecond
 			id := fmt.Sprintf("r%d", rapid.IntRange(0, i).Draw(t, "id"))
@@ -134,17 +122,8 @@
 				kind := rapid.SampledFrom([]policy.MembersKind{policy.Full, policy.Cached, policy.Delta, policy.Failed}).Draw(t, "kind")
 				j := rapid.IntRange(0, 5).Draw(t, "host")
 				list[j].State = rapid.SampledFrom([]policy.State{policy.Ready, policy.Draining}).Draw(t, "state")
-				both(func(m interface {
-					Members(time.Duration, policy.MembersKind, []policy.Server)
-					Request(time.Duration, policy.Request)
-					First(time.Duration, string)
-					Outcome(time.Duration, string, policy.Result, bool)
-					Gone(time.Duration, string)
-					Delay(time.Duration, string, time.Duration)
-					Wake(time.Duration, int64)
-				}) {
-					m.Members(now, kind, list[j:])
-				})
+				module.Members(now, kind, list[j:])
+				w.fleet.Members(now, kind, list[j:])
 			case 1, 2, 3:
 				id = fmt.Sprintf("r%d", i)
 				q := policy.Request{ID: id, Class: "lookup", Key: rapid.Uint64Range(0, 9).Draw(t, "key"), HasKey: true, TTL: time.Second}
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -91,14 +91,8 @@
 		require.NoError(t, err)
 		return h, string(text)
 	}
-	for _, f := range []Fault{
-		{Kind: "heavy", At: "5s", For: "10s", Size: 12, Carrier: "air-00"},
-		{Kind: "hot-key", At: "5s", For: "10s", Part: 0.25, Carrier: "air-00"},
-		{Kind: "crash", At: "5s", For: "6s", Part: 0.25, Cell: "cell-00"},
-		{Kind: "errors", At: "5s", For: "6s", Part: 0.25, Size: 0.7, Cell: "cell-00"},
-		{Kind: "deploy", At: "5s", For: "10s", Part: 0.9, Cell: "cell-00"},
-		{Kind: "drop", At: "5s", For: "1s", Part: 0.5, Carrier: "air-00"},
-	} {
+	for _, f := range sizeFaults {
+		f.At, f.For = "5s", "8s"
 		h, text := run(f, 1, true)
 		_, again := run(f, 1, true)
 		assert.Equal(t, text, again, f.Kind)
--- a/internal/lab/sockets.go
+++ b/internal/lab/sockets.go
@@ -35,7 +35,6 @@
 	binary  string
 	folder  string
 	began   time.Time
-	faulted time.Time
 	mu      sync.Mutex
 	rng     *rand.Rand
 	hosts   map[string]*standIn
