--- a/internal/net/node.go
+++ b/internal/net/node.go
@@ -508,6 +508,16 @@
 	n.deadlines.Set(now+drainCheck, func(now time.Duration) { n.drained(now, latest) })
 }
 
+// gone tells that the process is ending.
+func (n *Node) gone() bool {
+	select {
+	case <-n.stopped:
+		return true
+	default:
+		return false
+	}
+}
+
 // leave ends the process.
 func (n *Node) leave() {
 	n.report()
--- a/internal/net/upgrade.go
+++ b/internal/net/upgrade.go
@@ -84,13 +84,16 @@
 				return
 			}
 			n.post(func(time.Duration) {
-				if n.link != nil || n.stopping {
+				if n.link != nil || n.gone() {
 					_ = c.Close()
 					return
 				}
 				n.log.Info("new-process-joined")
 				n.linked(&link{node: n, conn: c, elder: true})
 				n.shareOut(apprentice)
+				if n.stopping { // told before it came: what stands here goes on there
+					n.stepBack()
+				}
 			})
 		}
 	}()
