--- a/cmd/lab/main.go
+++ b/cmd/lab/main.go
@@ -145,7 +145,7 @@
 }
 
 type prove struct {
-	What string `arg:"" enum:"cells,move,size" help:"One of ${enum}."`
+	What string `arg:"" enum:"cells,move,size,placement" help:"One of ${enum}."`
 	Dir  string `default:"lab" type:"path" help:"Where the experiments are."`
 	Plot string `type:"path" help:"A folder for pictures."`
 	binary
@@ -162,6 +162,8 @@
 		v, err = lab.ProveMove(c.Dir, c.Seed, c.Binary)
 	case "size":
 		v, sized, err = lab.ProveSize(c.Dir, c.Seed, runtime.NumCPU())
+	case "placement":
+		v, err = lab.ProvePlacement(c.Seed)
 	}
 	if err != nil {
 		return err
