Placement at 10, 100 and 1,000 hosts: gaps, time limits and the plot

The solver had to be shown at size. Its search now draws candidates by room and by how much is free, looks for prices in 40 steps where there is time, and its second fallback is the greedy start at no prices. A flight's first host is no longer charged as waste: flights of under 0.7 loads were turned away from idle hosts.

--- a/internal/lab/exact.go
+++ b/internal/lab/exact.go
@@ -61,6 +61,10 @@
 			c.home[known] = true
 		}
 		var g exactGroup
+		all := 0.0
+		for _, p := range fl.Parts {
+			all += p.Load
+		}
 		for _, p := range fl.Parts {
 			gains := make([]float64, len(f.Hosts))
 			for h := range f.Hosts {
@@ -72,6 +76,9 @@
 					lost += f.Prices.Move
 				}
 				gains[h] = p.Worth * (1 - lost)
+				if all > 0 { // the first host's price is given back
+					gains[h] += slices.Min(c.paid) * p.Load / all
+				}
 			}
 			g.load, g.gain = append(g.load, p.Load), append(g.gain, gains)
 		}
@@ -222,7 +229,12 @@
 			if was >= 0 && was != h {
 				lost += f.Prices.Move
 			}
-			parts[h] = append(parts[h], held{at.Load, part.Worth * at.Load / part.Load * (1 - lost)})
+			whole := 0.0
+			for _, p := range f.Flights[i].Parts {
+				whole += p.Load
+			}
+			back := slices.Min(c.paid) * at.Load / whole
+			parts[h] = append(parts[h], held{at.Load, part.Worth*at.Load/part.Load*(1-lost) + back})
 			load[h] += at.Load
 			placed[got.ID] += at.Load
 			if !seen[h] {
--- a/internal/lab/plot.go
+++ b/internal/lab/plot.go
@@ -1,6 +1,7 @@
 package lab
 
 import (
+	"fmt"
 	"image/color"
 
 	"gonum.org/v1/plot"
@@ -45,3 +46,34 @@
 	p.NominalX(names...)
 	return p.Save(18*vg.Centimeter, 10*vg.Centimeter, path)
 }
+
+// PlotPlacement draws how the solver's gap to its bound and its time grow with the fleet.
+func PlotPlacement(path string, all []SizedPlan) error {
+	p := plot.New()
+	p.Title.Text = "Gap to the bound, by hosts (20 flights a host); lines end where the search did"
+	p.X.Label.Text, p.Y.Label.Text = "milliseconds", "per cent"
+	p.X.Scale, p.X.Tick.Marker = plot.LogScale{}, plot.LogTicks{Prec: 0}
+	p.Legend.Top, p.Legend.Padding = true, vg.Points(3)
+	lines := map[[2]int]plotter.XYs{}
+	var order [][2]int
+	for _, s := range all {
+		key := [2]int{s.Hosts, int(s.Demand*100 + 0.5)}
+		if lines[key] == nil {
+			order = append(order, key)
+		}
+		lines[key] = append(lines[key], plotter.XY{X: max(s.Took.Seconds()*1e3, 0.1), Y: 100 * s.Gap})
+	}
+	colours := map[int]color.Color{10: color.RGBA{R: 40, G: 120, B: 130, A: 255}, 100: color.RGBA{R: 190, G: 90, B: 60, A: 255},
+		1000: color.RGBA{R: 90, G: 60, B: 140, A: 255}}
+	for _, key := range order {
+		line, points, err := plotter.NewLinePoints(lines[key])
+		if err != nil {
+			return err
+		}
+		line.Color, points.Color = colours[key[0]], colours[key[0]]
+		line.Dashes = map[int][]vg.Length{70: {vg.Points(1), vg.Points(3)}, 95: {vg.Points(6), vg.Points(3)}}[key[1]]
+		p.Add(line, points)
+		p.Legend.Add(fmt.Sprintf("%d hosts, demand %d%%  ", key[0], key[1]), line)
+	}
+	return p.Save(18*vg.Centimeter, 11*vg.Centimeter, path)
+}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -53,7 +53,7 @@
 type Prices struct {
 	Crossing float64 `json:"crossing"` // share of worth, for connections served in another room than they arrive in
 	Piece    float64 `json:"piece"`    // loads that each host holding a part of a flight pays
-	Waste    float64 `json:"waste"`    // share of the mean worth of a load, for each load of Piece paid
+	Waste    float64 `json:"waste"`    // share of the mean worth of a load, for each load of Piece paid beyond a flight's first host
 	Move     float64 `json:"move"`     // share of worth, for what does not stay where the plan in force has it
 	Fill     float64 `json:"fill"`     // share of what a host can do at which messages still come within the aims
 	Caution  float64 `json:"caution"`  // standard errors by which capacities are taken lower
@@ -159,7 +159,8 @@
 type piece struct {
 	flight, room int
 	load, worth  float64
-	was          int // host, or none
+	refund       float64 // its share of the waste of the first host
+	was          int     // host, or none
 }
 
 const none = -1
@@ -269,7 +270,7 @@
 			}
 			for range cuts {
 				c := float64(cuts)
-				p.pieces = append(p.pieces, piece{n, index[part.Room], part.Load / c, part.Worth / c, was})
+				p.pieces = append(p.pieces, piece{n, index[part.Room], part.Load / c, part.Worth / c, 0, was})
 			}
 			sum += part.Load
 			p.worth += part.Worth
@@ -281,12 +282,22 @@
 	if p.load > 0 {
 		p.waste = f.Prices.Waste * p.worth / p.load
 	}
+	if len(p.over) > 0 {
+		least := slices.Min(p.over)
+		for i := range p.pieces {
+			if c := &p.pieces[i]; p.flight[c.flight] > 0 {
+				c.refund = p.waste * least * c.load / p.flight[c.flight]
+			}
+		}
+	}
 	return p
 }
 
-// gain is what serving a piece on a host brings, but for what the host pays for holding its flight.
+// gain is what serving a piece on a host brings, but for what the host pays for holding its flight. The waste of a
+// flight's first host is given back, in proportion to what is served of it: no flight is turned away while there is
+// room because it is small.
 func (p *problem) gain(c *piece, host int) float64 {
-	g := c.worth
+	g := c.worth + c.refund
 	if p.room[host] != c.room {
 		g -= p.prices.Crossing * c.worth
 	}
@@ -303,7 +314,7 @@
 	Shed     float64 `json:"shed"`     // worth of what is not
 	ShedLoad float64 `json:"shedLoad"` // and its load
 	Crossing float64 `json:"crossing"` // what crossing costs
-	Waste    float64 `json:"waste"`    // what holding flights in pieces costs, their first host's included
+	Waste    float64 `json:"waste"`    // what holding flights on more than one host costs
 	Moved    float64 `json:"moved"`
 	Crossed  float64 `json:"crossed"` // worth that crosses
 	Pieces   int     `json:"pieces"`  // pairs of flight and host
@@ -354,6 +365,7 @@
 	served, crossing, waste, moved, crossed, shed, shedLoad float64
 	pieces                                                  int
 	full                                                    bool
+	free                                                    float64 // loads that could still come; under 0 where it is full
 	margin                                                  float64 // gain a load at which a full host stops to serve
 }
 
@@ -373,9 +385,10 @@
 			d.pieces++
 		}
 	}
-	over := float64(d.pieces) * s.over[h]
+	over, refund := float64(d.pieces)*s.over[h], 0.0
 	d.waste = over * s.waste
 	left := s.serves[h] - over
+	d.free = left - load
 	if d.full = load > left+tolerance*(s.serves[h]+over); d.full {
 		s.order = append(s.order[:0], items...)
 		slices.SortFunc(s.order, func(a, b int32) int {
@@ -397,6 +410,7 @@
 		}
 		left -= c.load * share
 		total += share * s.gain(c, h)
+		refund += share * c.refund
 		d.served += share * c.worth
 		d.shed += (1 - share) * c.worth
 		d.shedLoad += (1 - share) * c.load
@@ -408,5 +422,6 @@
 			d.moved += share * s.prices.Move * c.worth
 		}
 	}
-	return total - d.waste, d
+	total, d.waste = total-d.waste, d.waste-refund
+	return total, d
 }
--- a/internal/placement/solve.go
+++ b/internal/placement/solve.go
@@ -68,12 +68,12 @@
 	if !s.ended() {
 		rounds := 60
 		if len(p.pieces) > 2000 {
-			rounds = 12
+			rounds = 40
 		}
 		d := s.descend(rounds)
 		for _, tight := range []bool{false, true} {
 			if !s.ended() {
-				if s.offer(s.greedy(d, tight)) {
+				if s.offer(s.greedy(d.price, tight, false)) {
 					method = Search
 				}
 			}
@@ -243,7 +243,7 @@
 
 // reduced is what serving a piece in a room brings at the prices.
 func (d *dual) reduced(c *piece, r int) float64 {
-	g := c.worth - d.price[r]*c.load
+	g := c.worth + c.refund - d.price[r]*c.load
 	if r != c.room {
 		g -= d.prices.Crossing * c.worth
 	}
@@ -416,15 +416,36 @@
 
 // greedy places the largest flights first, each as a whole in the room, or its parts in the rooms, where they bring
 // the most at the prices of the bound.
-func (s *search) greedy(d *dual, tight bool) []int32 {
-	k := s.pack(d.price)
-	all := make([]int, 0, 8)
+//
+// Where asked to keep, flights that the plan in force has on a host that is there stay on it.
+func (s *search) greedy(price []float64, tight, keep bool) []int32 {
+	k := s.pack(price)
+	if keep {
+		for n := range s.flight {
+			if s.from[n] == s.from[n+1] || s.pieces[s.from[n]].was == none {
+				continue
+			}
+			was := s.pieces[s.from[n]].was
+			for i := s.from[n]; i < s.from[n+1]; i++ {
+				k.at[i] = int32(was)
+				k.left[was] -= s.pieces[i].load
+			}
+			k.left[was] -= s.over[was]
+		}
+		for _, r := range k.rooms {
+			heap.Init(r)
+		}
+	}
+	all, where := make([]int, 0, 8), make([]int, 0, 8)
 	for n := range s.flight {
 		all = all[:0]
 		for i := s.from[n]; i < s.from[n+1]; i++ {
 			all = append(all, i)
 		}
 		s.steps++
+		if len(all) == 0 || k.at[all[0]] != none {
+			continue
+		}
 		whole, at := 0.0, none
 		for r := range s.rooms {
 			if h := k.pick(r, s.flight[n], tight); h != none {
@@ -433,8 +454,12 @@
 				}
 			}
 		}
-		apart, where := 0.0, make([]int, len(all))
+		apart := 0.0
+		where = append(where[:0], all...)
 		for j, i := range all {
+			if len(all) == 1 {
+				break
+			}
 			best := 0.0
 			where[j] = none
 			for r := range s.rooms {
@@ -471,12 +496,12 @@
 // fallback is the best of three placements that need no search: the plan in force repaired, what fits in its room with
 // the rest in others, and all hosts alike.
 func (s *search) fallback() (Method, []int32) {
-	best, method := s.equal(), Equal
+	best, method, free := s.equal(), Equal, make([]float64, len(s.rooms))
 	total := s.value(best).Total
 	for _, way := range []struct {
 		method Method
 		at     func() []int32
-	}{{Overflow, func() []int32 { return s.overflow(false) }}, {Repaired, func() []int32 { return s.overflow(true) }}} {
+	}{{Overflow, func() []int32 { return s.greedy(free, false, false) }}, {Repaired, func() []int32 { return s.greedy(free, false, true) }}} {
 		if way.method == Repaired && !slices.ContainsFunc(s.pieces, func(c piece) bool { return c.was != none }) {
 			continue
 		}
@@ -511,56 +536,6 @@
 	return x ^ x>>31
 }
 
-// overflow keeps what the plan in force has, where asked to, and places each piece in its room while that has space,
-// then where there is most.
-func (s *search) overflow(keep bool) []int32 {
-	k := s.pack(make([]float64, len(s.rooms)))
-	if keep {
-		for n := range s.flight {
-			was := s.pieces[min(s.from[n], len(s.pieces)-1)].was
-			if s.from[n] == s.from[n+1] || was == none {
-				continue
-			}
-			for i := s.from[n]; i < s.from[n+1]; i++ {
-				k.at[i] = int32(was)
-				k.left[was] -= s.pieces[i].load
-			}
-			k.left[was] -= s.over[was]
-		}
-		for _, r := range k.rooms {
-			heap.Init(r)
-		}
-	}
-	for n := range s.flight {
-		for i := s.from[n]; i < s.from[n+1]; i++ {
-			if k.at[i] != none {
-				continue
-			}
-			c := &s.pieces[i]
-			if i > s.from[n] && k.at[i-1] != none && s.pieces[i-1].room == c.room { // with its fellows while there is space
-				if h := int(k.at[i-1]); k.left[h] >= c.load {
-					k.at[i] = int32(h)
-					k.left[h] -= c.load
-					heap.Init(k.rooms[k.room[h]])
-					continue
-				}
-			}
-			h := k.pick(c.room, c.load, false)
-			if h == none || k.left[h] < c.load+k.over[h] {
-				for r := range s.rooms {
-					if o := k.pick(r, c.load, false); o != none && (h == none || k.left[o] > k.left[h]) {
-						h = o
-					}
-				}
-			}
-			if h != none {
-				k.put(h, i)
-			}
-		}
-	}
-	return k.at
-}
-
 // ---- Improving a placement ----
 
 // state is a placement under change, with what each host is worth in it.
@@ -569,6 +544,7 @@
 	at      []int32
 	items   [][]int32
 	worths  []float64
+	free    []float64 // loads that could still come to each host
 	total   float64
 	mark    []int32
 	stamp   int32
@@ -585,19 +561,27 @@
 
 func (p *problem) state(at []int32) *state {
 	s := &state{problem: p, at: slices.Clone(at), items: make([][]int32, len(p.hosts)), worths: make([]float64, len(p.hosts)),
-		mark: make([]int32, len(p.flight))}
+		free: slices.Clone(p.serves), mark: make([]int32, len(p.flight))}
 	for i, h := range at {
 		if h != none {
 			s.items[h] = append(s.items[h], int32(i))
 		}
 	}
 	for h := range s.items {
-		s.worths[h], _ = s.host(h, s.items[h])
+		s.weigh(h)
 		s.total += s.worths[h]
 	}
 	return s
 }
 
+func (s *state) weigh(h int) {
+	worth, d := s.host(h, s.items[h])
+	s.worths[h], s.free[h] = worth, d.free
+	if len(s.items[h]) == 0 {
+		s.free[h] = s.serves[h]
+	}
+}
+
 func (s *state) shift(c change) {
 	if c.from != none {
 		list := s.items[c.from]
@@ -617,7 +601,7 @@
 	touch := func(h int32) {
 		if h != none && !slices.Contains(s.touched, int(h)) {
 			s.touched = append(s.touched, int(h))
-			s.before = append(s.before, s.worths[h])
+			s.before = append(s.before, s.worths[h], s.free[h])
 		}
 	}
 	for _, c := range changes {
@@ -627,8 +611,8 @@
 	}
 	delta := 0.0
 	for i, h := range s.touched {
-		s.worths[h], _ = s.host(h, s.items[h])
-		delta += s.worths[h] - s.before[i]
+		s.weigh(h)
+		delta += s.worths[h] - s.before[2*i]
 	}
 	if delta > tolerance*s.worth {
 		s.total += delta
@@ -638,7 +622,7 @@
 		s.shift(change{changes[i].piece, changes[i].to, changes[i].from})
 	}
 	for i, h := range s.touched {
-		s.worths[h] = s.before[i]
+		s.worths[h], s.free[h] = s.before[2*i], s.before[2*i+1]
 	}
 	return false
 }
@@ -689,8 +673,12 @@
 }
 
 func (s *search) climb(st *state) {
-	for moved := true; moved; {
-		moved = false
+	patience := 1
+	if len(s.hosts) > fewAll {
+		patience = 4 // candidates are drawn anew each time
+	}
+	for idle := 0; idle < patience; {
+		before, moved := st.total, false
 		for n := range s.flight {
 			if s.ended() {
 				return
@@ -700,20 +688,36 @@
 		if len(s.flight) <= 200 {
 			moved = s.exchange(st) || moved
 		}
+		if idle++; moved && (len(s.hosts) <= fewAll || st.total > before+1e-6*s.worth) {
+			idle = 0
+		}
 	}
 }
 
-// candidates are the hosts that a flight is tried on: all, where they are few, else some.
-func (s *search) candidates(yield func(int32)) {
+// candidates are the hosts that a flight is tried on: all, where they are few, else some by chance, and in each room
+// the roomiest of some.
+func (s *search) candidates(st *state, yield func(int32)) {
 	if len(s.hosts) <= fewAll {
 		for h := range s.hosts {
 			yield(int32(h))
 		}
 		return
 	}
-	for range 6 {
+	for range 3 {
 		yield(int32(s.rng.IntN(len(s.hosts))))
 	}
+	for _, hosts := range s.byRoom {
+		if len(hosts) == 0 {
+			continue
+		}
+		best := hosts[s.rng.IntN(len(hosts))]
+		for range 15 {
+			if h := hosts[s.rng.IntN(len(hosts))]; st.free[h] > st.free[best] {
+				best = h
+			}
+		}
+		yield(int32(best))
+	}
 }
 
 func (s *search) relocate(st *state, n int) (moved bool) {
@@ -734,7 +738,7 @@
 			}
 		}
 	}
-	s.candidates(one)
+	s.candidates(st, one)
 	one(none)
 	for i := s.from[n]; several && i < s.from[n+1]; i++ { // to its fellows
 		if h := st.at[i]; h != none {
@@ -755,8 +759,7 @@
 	if len(h) == 0 {
 		return true
 	}
-	_, d := st.host(int(h[0]), st.items[h[0]])
-	return !d.full
+	return st.free[h[0]] >= -tolerance*s.serves[h[0]]
 }
 
 // exchange swaps two pieces, or two flights, that stand on different hosts.
