Plans in the daemon: weights by room, cells by flight, records; tealtiller plan

A plan is of use only where balancers read it. The operator's file names it (placement block); a Weigher between pool config and module hands the list on with its weights, and touches nothing else of it. Records of what stands and what desk hosts report are written off the loop when the file says so; tealtiller plan gathers them into a fleet, makes plans, checks and compares them. Without the block nothing changes: the list goes on as it came.

--- a/cmd/tealtiller/main.go
+++ b/cmd/tealtiller/main.go
@@ -27,6 +27,7 @@
 	Serve   serve   `cmd:"" default:"withargs" help:"Serve clients; what runs where no sub-command is named."`
 	Check   check   `cmd:"" help:"Check operator's files and tell every error; exit code 1 if there is one."`
 	Cells   inspect `cmd:"" help:"Print which desk host and carrier is in which cell, and what each move would do."`
+	Plan    plan    `cmd:"" help:"Work out placement ahead: make a plan, check it, compare two, gather a fleet from records."`
 	Version version `cmd:"" help:"Print the version."`
 }
 
@@ -82,7 +83,7 @@
 			if err != nil {
 				return t, err
 			}
-			t.Plan = file.Cells
+			t.Plan, t.Placement = file.Cells, file.Placement
 		}
 		t.Config, err = source.Load()
 		return t, err
--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -13,6 +13,7 @@
 
 	"tealtiller/internal/cells"
 	"tealtiller/internal/counters"
+	"tealtiller/internal/placement"
 )
 
 // The calls.
@@ -64,6 +65,7 @@
 	Members, Unavailable int
 	Reloads, Refused     int64 // configurations taken in and turned down
 	Cells                []Cell
+	Plan                 *placement.Figures // nil: no plan
 }
 
 // Cell is the figures of one cell.
@@ -87,5 +89,9 @@
 			"svc.cells.%[1]s.rejected:%[11]d|c\nsvc.cells.%[1]s.overflowed:%[12]d|c\n",
 			c.Name, c.Open, c.Guests, c.Hosts, c.Usable, c.MovesLeft, c.Moved, c.Full, c.TooFast, c.NoHost, c.Counts.Refused, c.Overflowed)
 	}
+	if p := f.Plan; p != nil {
+		fmt.Fprintf(&b, "svc.plan.force_percent:%.0f|g\nsvc.plan.age_s:%.0f|g\nsvc.plan.members_known:%d|g\nsvc.plan.members_unknown:%d|g\n"+
+			"svc.plan.members_missing:%d|g\n", 100*p.Force, p.Age.Seconds(), p.Known, p.Unknown, p.Missing)
+	}
 	return b.String()
 }
--- a/internal/cells/plan.go
+++ b/internal/cells/plan.go
@@ -32,6 +32,9 @@
 	Keep  time.Duration
 	Cells []Cell
 	Moves []Move
+	// Given, if set, is where a placement plan has a carrier's flight. What the file says of flights and moves goes before
+	// it, what it says of carriers after. A cell that there is not counts as none.
+	Given func(now time.Duration, carrier string, flight uint64) (cell string, ok bool)
 }
 
 // Len is how many cells a plan has; nil is one without.
@@ -349,6 +352,11 @@
 			return m.From, m.To, since
 		}
 	}
+	if p.Given != nil {
+		if cell, ok := p.Given(now, carrier, flight); ok && slices.ContainsFunc(p.Cells, func(c Cell) bool { return c.Name == cell }) {
+			return cell, "", 0
+		}
+	}
 	for i := range p.Cells {
 		if slices.Contains(p.Cells[i].Carriers, carrier) {
 			return p.Cells[i].Name, "", 0
--- a/internal/net/admin.go
+++ b/internal/net/admin.go
@@ -104,6 +104,7 @@
 	f := admin.Figures{Classes: ends, Attempts: n.count["route steps written"], Pending: n.table.Len(),
 		Reloads: n.count["configurations taken in"], Refused: n.count["configurations refused"]}
 	f.Members, f.Unavailable = n.table.Listed(now)
+	f.Plan = n.weigher.Figures(now)
 	for _, c := range n.fleet.Figures(now) {
 		f.Cells = append(f.Cells, admin.Cell(c))
 	}
--- a/internal/net/node.go
+++ b/internal/net/node.go
@@ -24,6 +24,8 @@
 	"tealtiller/internal/deadline"
 	"tealtiller/internal/line"
 	"tealtiller/internal/operation"
+	"tealtiller/internal/operator"
+	"tealtiller/internal/placement"
 	"tealtiller/internal/poolconfig"
 	"tealtiller/internal/settings"
 	"tealtiller/internal/slot"
@@ -33,7 +35,8 @@
 // Terms are what a node works by: the platform's configuration, and what the operator's own file adds to it.
 type Terms struct {
 	settings.Config
-	Plan *cells.Plan // nil: no cells
+	Plan      *cells.Plan // nil: no cells
+	Placement operator.Placement
 }
 
 // Node is one balancer. Its gnet callbacks and all its methods but Run, Reload, Drain and Report belong to the loop.
@@ -56,6 +59,9 @@
 	desks     slot.Table[*desk]
 	addresses map[string]netip.AddrPort
 	pool      pool
+	weigher   *placement.Weigher // between the pool config and the module
+	fades     *deadline.Deadline // when the weights of a plan change by themselves
+	recorder  recorder
 	delays    delays
 
 	link     *link // to the other process of this balancer, while there are two
@@ -151,6 +157,8 @@
 	n.adopt(cfg)
 	n.table.Adopt(cfg.Settings.Policy)
 	n.table.Settle(n.now(), func() { n.fleet.Replan(n.now(), cfg.Plan) })
+	n.reweigh(n.now())
+	n.recorder.turn(n, n.now())
 	if cfg.Discovery != n.pool.address {
 		n.pool.turn(cfg.Discovery)
 	}
@@ -304,19 +312,35 @@
 			n.fleet = cells.New(n.cfg.Settings.Policy, n.cfg.Seed, h, n.cfg.Plan)
 			return n.fleet
 		}, carrier{n}, &n.deadlines, n.count)
-		n.learn(n.known)
-		n.table.Members(now, policy.Cached, n.known.Servers())
+		n.weigher = placement.NewWeigher(n.cfg.Placement.Plan, n.cfg.Settings.Policy.Zone)
+		n.members(now, policy.Cached, n.known)
+		n.reweigh(now)
 		n.delays.next(n, now)
+		n.recorder.turn(n, now)
 		n.log.Info("ready", "listen", n.cfg.Listen, "hosts", len(n.known.Members), "cells", n.cfg.Plan.Len())
 	})
 }
 
-func (n *Node) learn(list *poolconfig.List) {
+// members takes what the pool config tells; the module hears of it with the weights of a plan, where there is one.
+func (n *Node) members(now time.Duration, kind policy.MembersKind, list *poolconfig.List) {
 	for _, m := range list.Members {
 		if m.State != policy.Gone {
 			n.addresses[m.ID] = m.Address
 		}
 	}
+	n.table.Members(now, kind, n.weigher.Take(now, kind, list.Servers()))
+}
+
+// reweigh hands on the weights as they are now, and sees to it that it happens again when a plan fades further.
+func (n *Node) reweigh(now time.Duration) {
+	if changed := n.weigher.Replan(now, n.cfg.Placement.Plan, n.cfg.Settings.Policy.Zone); len(changed) > 0 {
+		n.log.Info("plan-weights-changed", "hosts", len(changed))
+		n.table.Members(now, policy.Delta, changed)
+	}
+	n.deadlines.Stop(n.fades)
+	if n.fades = nil; n.weigher.Next(now) > 0 {
+		n.fades = n.deadlines.Set(n.weigher.Next(now), n.reweigh)
+	}
 }
 
 // OnOpen fires on the loop for accepted, dialled and enrolled connections.
--- a/internal/net/pool.go
+++ b/internal/net/pool.go
@@ -162,12 +162,11 @@
 	if list.Complete {
 		kind = policy.Full
 	}
-	p.node.learn(list)
 	if keep {
 		p.ask(now)
 	} else {
 		p.drop()
 		p.dial()
 	}
-	p.node.table.Members(now, kind, list.Servers())
+	p.node.members(now, kind, list)
 }
--- /dev/null
+++ b/internal/net/record.go
@@ -0,0 +1,120 @@
+package net
+
+import (
+	"encoding/json"
+	"os"
+	"strconv"
+	"time"
+
+	"tealtiller/internal/deadline"
+	"tealtiller/internal/operator"
+	"tealtiller/internal/placement"
+)
+
+// recorder writes what this balancer sees, for plans to be made of. The record is made on the loop and written by a
+// goroutine: a slow, full or vanished disk costs records, which are counted, and nothing else.
+type recorder struct {
+	file string
+	out  chan []byte
+	next *deadline.Deadline
+}
+
+// mostRecords is how many records may wait to be written.
+const mostRecords = 4
+
+// turn goes over to what the operator's file says now.
+func (r *recorder) turn(n *Node, now time.Duration) {
+	p := n.cfg.Placement
+	n.deadlines.Stop(r.next)
+	if r.file != p.Record && r.out != nil {
+		close(r.out)
+		r.out = nil
+	}
+	if r.file = p.Record; r.file == "" {
+		return
+	}
+	if r.out == nil {
+		r.out = make(chan []byte, mostRecords)
+		go write(p, r.out, func(err error) {
+			n.post(func(time.Duration) {
+				n.count.Add("records failed")
+				n.log.Error("record-failed", "reason", err)
+			})
+		})
+	}
+	r.next = n.deadlines.Set(now+p.Every, func(now time.Duration) {
+		r.record(n, now)
+		r.turn(n, now)
+	})
+}
+
+func (r *recorder) record(n *Node, now time.Duration) {
+	text, err := json.Marshal(n.seen(now))
+	if err != nil {
+		return // a figure that JSON knows no form for
+	}
+	select {
+	case r.out <- append(text, '\n'):
+		n.count.Add("records made")
+	default:
+		n.count.Add("records dropped")
+	}
+}
+
+// seen is what stands here now, and what desk hosts last told of themselves.
+func (n *Node) seen(now time.Duration) placement.Record {
+	rec := placement.Record{Version: 1, At: now.Milliseconds(), Balancer: n.cfg.Name, Room: n.cfg.Settings.Policy.Zone}
+	for _, s := range n.weigher.Listed() {
+		h := placement.RecordedHost{ID: s.ID, Room: s.Zone, Kind: s.Kind, Started: s.Started.Milliseconds(), Age: -1}
+		if l := n.delays.lags[s.ID]; l != nil && l.report.at > 0 {
+			h.X0, h.Age = l.report.x0, (now - l.report.at).Milliseconds()
+		}
+		rec.Hosts = append(rec.Hosts, h)
+	}
+	type flight struct {
+		key  uint64
+		host string
+	}
+	at := map[flight]int{}
+	for _, d := range n.desks.All() {
+		if !d.up {
+			continue
+		}
+		o := &d.front.opening
+		f := flight{n.request(*o).Key, d.server}
+		i, known := at[f]
+		if !known {
+			i = len(rec.Stands)
+			at[f] = i
+			rec.Stands = append(rec.Stands, placement.Stand{Key: strconv.FormatUint(f.key, 16), Carrier: o.Carrier, Host: d.server, Open: map[string]int{}})
+		}
+		rec.Stands[i].Open[o.Class]++
+	}
+	return rec
+}
+
+// write appends records to the file; one that has grown too large is kept as FILE.1 and begun anew.
+func write(p operator.Placement, records <-chan []byte, failed func(error)) {
+	for text := range records {
+		if err := add(p, text); err != nil {
+			failed(err)
+		}
+	}
+}
+
+func add(p operator.Placement, text []byte) error {
+	if info, err := os.Stat(p.Record); err == nil && info.Size()+int64(len(text)) > p.Largest {
+		if err := os.Rename(p.Record, p.Record+".1"); err != nil {
+			return err
+		}
+	}
+	f, err := os.OpenFile(p.Record, os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o644)
+	if err != nil {
+		return err
+	}
+	_, err = f.Write(text)
+	if closing := f.Close(); err == nil {
+		err = closing
+	}
+	return err
+}
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -7,6 +7,7 @@
 	"cmp"
 	"fmt"
 	"os"
+	"path/filepath"
 	"slices"
 	"time"
 
@@ -15,11 +16,22 @@
 	"github.com/hashicorp/hcl/v2/hclsyntax"
 
 	"tealtiller/internal/cells"
+	"tealtiller/internal/placement"
 )
 
 // File is what an operator's file says.
 type File struct {
-	Cells *cells.Plan // nil: no cells
+	Cells     *cells.Plan // nil: no cells
+	Placement Placement
+}
+
+// Placement is where a plan is read and what a balancer sees is recorded.
+type Placement struct {
+	Plan    *placement.Plan // nil: no plan
+	Path    string          // of the plan
+	Record  string          // path of the record file; empty: none is written
+	Every   time.Duration   // from one record to the next
+	Largest int64           // bytes of a record file, from where on it is begun anew
 }
 
 // Error is all that is wrong with a file, one place a line.
@@ -33,7 +45,15 @@
 }
 
 type document struct {
-	Cells *cellsBlock `hcl:"cells,block"`
+	Cells     *cellsBlock     `hcl:"cells,block"`
+	Placement *placementBlock `hcl:"placement,block"`
+}
+
+type placementBlock struct {
+	Plan      string `hcl:"plan,optional"`
+	Record    string `hcl:"record,optional"`
+	Every     string `hcl:"record_every,optional"`
+	LargestMB *int   `hcl:"record_largest_mb,optional"`
 }
 
 type cellsBlock struct {
@@ -101,15 +121,63 @@
 	out := &File{}
 	if doc.Cells != nil && len(r.errors) == 0 {
 		body, _ := parsed.Body.(*hclsyntax.Body)
-		r.places = index(body)
+		r.places = index(body, "cells")
 		out.Cells = r.plan(doc.Cells)
 	}
+	if doc.Placement != nil && len(r.errors) == 0 {
+		body, _ := parsed.Body.(*hclsyntax.Body)
+		r.places = index(body, "placement")
+		r.placement(doc.Placement, filepath.Dir(name), &out.Placement)
+	}
 	if err := r.error(name); err != nil {
 		return nil, err
 	}
+	if given := out.Placement.Plan; given != nil && out.Cells != nil {
+		out.Cells.Given = given.Cell
+	}
 	return out, nil
 }
 
+// placement reads the plan that the file names, by a path from the file's own folder. A plan that makes no sense is
+// refused with the file, or a balancer would go on without what its operator thinks is in force.
+func (r *reader) placement(b *placementBlock, folder string, out *Placement) {
+	*out = Placement{Record: b.Record, Every: usualEvery, Largest: usualLargest << 20}
+	if b.Every != "" {
+		every, err := time.ParseDuration(b.Every)
+		if err != nil || every < 100*time.Millisecond || every > time.Hour {
+			r.fail("", "", "record_every", "want a span of 100ms to 1h")
+		}
+		out.Every = every
+	}
+	if b.LargestMB != nil {
+		if out.Largest = int64(*b.LargestMB) << 20; *b.LargestMB < 1 || *b.LargestMB > 1<<20 {
+			r.fail("", "", "record_largest_mb", "want a figure from 1 on")
+		}
+	}
+	if out.Record != "" && !filepath.IsAbs(out.Record) {
+		out.Record = filepath.Join(folder, out.Record)
+	}
+	if b.Plan == "" {
+		return
+	}
+	if out.Path = b.Plan; !filepath.IsAbs(out.Path) {
+		out.Path = filepath.Join(folder, out.Path)
+	}
+	text, err := os.ReadFile(out.Path)
+	if err == nil && len(text) > mostPlan {
+		err = fmt.Errorf("it holds %d bytes; at most %d", len(text), mostPlan)
+	}
+	if err == nil {
+		out.Plan, err = placement.ParsePlan(text)
+	}
+	if err != nil {
+		r.fail("", "", "plan", "%s: %v", b.Plan, err)
+	}
+}
+
+// mostPlan bounds a plan file: 1,000 hosts in two rooms and 20,000 flights take 1.5 MB.
+const mostPlan, usualEvery, usualLargest = 8 << 20, 5 * time.Second, 64
+
 // reader gathers errors and the places at which blocks and attributes stand.
 type reader struct {
 	errors []fault
@@ -151,8 +219,8 @@
 	return out
 }
 
-// index finds the blocks of the cells block, and what stands in them.
-func index(body *hclsyntax.Body) map[place][]hcl.Range {
+// index finds the blocks within a block, and what stands in them.
+func index(body *hclsyntax.Body, block string) map[place][]hcl.Range {
 	out := map[place][]hcl.Range{}
 	if body == nil {
 		return out
@@ -164,7 +232,7 @@
 		}
 	}
 	for _, b := range body.Blocks {
-		if b.Type != "cells" {
+		if b.Type != block {
 			continue
 		}
 		add("", "", b)
--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -35,6 +35,8 @@
 	Carriers map[string]string             `json:"carriers,omitempty"` // the cell of each
 	Flights  map[string]string             `json:"flights,omitempty"`  // the cell of flights, by their keys in hexadecimal
 	Shed     []Shedding                    `json:"shed,omitempty"`     // what the fleet cannot serve, the least worth first
+
+	cells map[uint64]string // Flights by key
 }
 
 // PlanHost is what a plan takes a host for.
@@ -97,6 +99,7 @@
 		p.confine(a)
 	}
 	p.shed(f, a)
+	p.index()
 	return p
 }
 
@@ -248,10 +251,8 @@
 			return nil, fail(room, "demand of room %q: %v", room, d)
 		}
 	}
-	for key := range p.Flights {
-		if _, err := strconv.ParseUint(key, 16, 64); err != nil {
-			return nil, fail(key, "flight %q: want a key in hexadecimal", key)
-		}
+	if bad, ok := p.index(); !ok {
+		return nil, fail(bad, "flight %q: want a key in hexadecimal", bad)
 	}
 	return p, nil
 }
--- a/internal/placement/solve.go
+++ b/internal/placement/solve.go
@@ -23,8 +23,9 @@
 // Limit bounds a search. Steps count placements that were looked at and are the same on every machine; Stop, asked now
 // and then, ends it early.
 type Limit struct {
-	Steps int         // 0: none
-	Stop  func() bool // nil: never
+	Steps int                                   // 0: none
+	Stop  func() bool                           // nil: never
+	Tell  func(worth, bound float64, steps int) // told now and then, if set
 	Seed  uint64
 }
 
@@ -91,6 +92,39 @@
 	return s.answer(method)
 }
 
+// Standing is the fleet as it is: flights on the hosts that the plan in force has them on, the rest by their keys.
+func Standing(f *Fleet) *Answer {
+	p := compile(f)
+	s := &search{problem: p}
+	s.best = s.equal()
+	for i := range s.pieces {
+		if was := s.pieces[i].was; was != none {
+			s.best[i] = int32(was)
+		}
+	}
+	s.total = p.value(s.best).Total
+	return s.answer(Equal)
+}
+
+// Loads is what each host holds in an answer, with what it pays for flights.
+func (a *Answer) Loads(f *Fleet) map[string]float64 {
+	out, over := map[string]float64{}, map[string]float64{}
+	for i := range f.Hosts {
+		out[f.Hosts[i].ID], over[f.Hosts[i].ID] = 0, f.Prices.Piece*f.Hosts[i].spread()
+	}
+	for _, fl := range a.Flights {
+		seen := map[string]bool{}
+		for _, s := range fl.At {
+			out[s.Host] += s.Load
+			if !seen[s.Host] {
+				seen[s.Host] = true
+				out[s.Host] += over[s.Host]
+			}
+		}
+	}
+	return out
+}
+
 // search holds the best placement so far.
 type search struct {
 	*problem
@@ -111,9 +145,12 @@
 	if s.stopped || s.limit.Steps > 0 && s.steps >= s.limit.Steps {
 		return true
 	}
-	if s.limit.Stop != nil && s.steps >= s.asked {
+	if s.steps >= s.asked {
 		s.asked = s.steps + 200
-		s.stopped = s.limit.Stop()
+		s.stopped = s.limit.Stop != nil && s.limit.Stop()
+		if s.limit.Tell != nil {
+			s.limit.Tell(s.total, s.bound, s.steps)
+		}
 	}
 	return s.stopped
 }
