--- a/deploy/operator.hcl
+++ b/deploy/operator.hcl
@@ -2,6 +2,11 @@
 # told of it (--operator, or EDGE_OPERATOR); here it stands as an example, and `bin/tealtiller check` accepts it.
 # docs/cells.md explains every line.
 
+# placement {                # docs/placement.md
+#   plan   = "plan.json"     # made by bin/tealtiller plan
+#   record = "seen-{name}.jsonl"
+# }
+
 cells {
   default = "general" # whoever is named in no cell
 
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -9,6 +9,8 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"tealtiller/internal/placement"
 )
 
 func TestTheExperimentsAreGood(t *testing.T) {
@@ -133,3 +135,23 @@
 	assert.LessOrEqual(t, o.MostAttempts, 6)
 	assert.Greater(t, o.Served, 50)
 }
+
+// Under a plan a day's flights stand in their rooms, and every client has its answer.
+func TestADayUnderAPlan(t *testing.T) {
+	base, err := Load("../../lab/placement.hcl")
+	require.NoError(t, err)
+	base.Duration, base.Settle, base.Opens, base.Weights = "20s", "5s", 20, "equal"
+	recorded := *base
+	recorded.Record = true
+	before := NewVirtual(&recorded, 1, false)
+	equal := before.Run()
+	fleet, err := before.gather.Fleet(placement.Usual())
+	require.NoError(t, err)
+	plan, off := planOf(fleet, before.specs, false, false, time.Unix(0, int64(virtualStart)))
+	assert.Less(t, off, 0.15)
+	planned, err := under(*base, plan)
+	require.NoError(t, err)
+	after := NewVirtual(&planned, 1, true).Run()
+	assert.Less(t, after.Worth.Crossings(), equal.Worth.Crossings()*0.6)
+	assert.Zero(t, after.Lost+after.Doubled+after.Foreign)
+}
--- a/internal/lab/virtual.go
+++ b/internal/lab/virtual.go
@@ -554,7 +554,7 @@
 // rendezvous without quotas would have left uneven: the largest cell over the mean.
 func Churn(exp *Experiment, seed uint64, part float64) (changes, moved, least int, plainWorst float64) {
 	rng := rand.New(rand.NewPCG(seed, 3))
-	v := &Virtual{machines: map[string]*virtualHost{}}
+	v := &Virtual{exp: exp, machines: map[string]*virtualHost{}}
 	var list []policy.Server
 	for _, s := range exp.Fleet(seed) {
 		v.machines[s.ID] = &virtualHost{Machine: NewMachine(s, time.Second)}
