Branch and bound: take off no more than a full host's loss

Since a flight's first host is given back its price, the word of the bound for a full host subtracted that price net of what gains already held. The loss taken off was too large by it, so a branch with the best placement could be cut and an answer called exact that was not.

--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -233,3 +233,39 @@
 		assert.GreaterOrEqual(t, f.Value, s.Value-1e-6*scale, "the programme is worth no less than the overflow")
 	})
 }
+
+// At any prices the bound of a placement that is whole is no less than what it is worth: what branch and bound takes off
+// for places chosen and for full hosts is never too much. A host whose flights alone are over what it serves only loses,
+// and is left out.
+func TestTheBoundHoldsForEveryPlacement(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := fleets(t)
+		s := &search{problem: compile(f)}
+		d := &dual{problem: s.problem, price: make([]float64, len(s.rooms))}
+		for r := range d.price {
+			d.price[r] = rapid.Float64Range(0, 2).Draw(t, "price")
+		}
+		b := s.brancher(d)
+		bound := d.most(nil)
+		for n := range s.flight {
+			if len(b.options[n]) == 0 {
+				t.Skip("too many places to list")
+			}
+			o := rapid.SampledFrom(b.options[n]).Draw(t, "place")
+			bound -= o.loss
+			for c, h := range o.at {
+				if h != none {
+					b.st.shift(change{int32(s.from[n] + c), none, h})
+				}
+			}
+		}
+		for h := range s.hosts {
+			if _, det := b.st.host(h, b.st.items[h]); float64(det.pieces)*s.over[h] > s.serves[h] {
+				t.Skip("a host that serves nothing")
+			}
+			bound -= b.settle(h)
+		}
+		total := sum(b.st.worths)
+		assert.GreaterOrEqual(t, bound, total-1e-6*max(1, math.Abs(total)))
+	})
+}
--- a/internal/placement/solve.go
+++ b/internal/placement/solve.go
@@ -840,24 +840,27 @@
 // known but for what the price would have bought: whatever comes on top brings no more there than at the price, as the
 // most a host serves is concave in what stands there.
 func (s *search) branch(d *dual) (whole bool) {
+	b := s.brancher(d)
+	b.visit(0, d.most(nil))
+	return b.whole
+}
+
+func (s *search) brancher(d *dual) *brancher {
 	nowhere := make([]int32, len(s.pieces))
 	for i := range nowhere {
 		nowhere[i] = none
 	}
 	b := &brancher{search: s, dual: d, st: s.state(nowhere), loss: make([]float64, len(s.hosts)), whole: true}
-	b.bound = d.most(nil)
 	for n := range s.flight {
 		b.fill(n)
 	}
-	b.visit(0, b.bound)
-	return b.whole
+	return b
 }
 
 type brancher struct {
 	*search
 	dual    *dual
 	st      *state
-	bound   float64
 	loss    []float64 // of each host, known by what stands there
 	options [][]option
 	whole   bool
@@ -965,7 +968,8 @@
 	b.st.worths[h], b.loss[h] = total, 0
 	price := b.dual.price[b.room[h]]
 	if d.full && d.margin >= price {
-		word := price*(b.serves[h]-float64(d.pieces)*b.over[h]) - d.waste
+		over := float64(d.pieces) * b.over[h]
+		word := price*(b.serves[h]-over) - over*b.waste // all of it: gains hold what is given back
 		for _, i := range b.st.items[h] {
 			word += max(b.gain(&b.pieces[i], h)-price*b.pieces[i].load, 0)
 		}
