Placement: say once what was said twice, and drop what nobody reads

Read once more as a whole. Said once: the best host for some pieces (three loops), spreading a key over bits (cells.Mix, cells.Position), counting what stands for a record (daemon and laboratory), a host's capacity over a plan's time, the names of the rooms. Whether a plan in force has a flight on a host is worked out once, not at each node of the search; whether hosts are cells once, not for each part of each flight.

--- a/cmd/lab/main.go
+++ b/cmd/lab/main.go
@@ -165,7 +165,7 @@
 	case "placement":
 		v, err = lab.ProvePlacement(c.Seed)
 	case "placement-worth":
-		v, _, err = lab.ProveWorth(c.Dir, c.Seed, c.Binary)
+		v, err = lab.ProveWorth(c.Dir, c.Seed, c.Binary)
 	case "placement-size":
 		var all []lab.SizedPlan
 		v, all = lab.ProvePlacementSize(c.Seed)
--- a/cmd/tealtiller/plan.go
+++ b/cmd/tealtiller/plan.go
@@ -50,10 +50,12 @@
 	began := time.Now()
 	told := began
 	whole := f
-	if !c.Hosts {
-		f = placement.Rooms(f)
+	if c.Hosts {
+		f = placement.Even(f, c.Even)
+		whole = f
+	} else {
+		f = placement.Even(placement.Rooms(f), c.Even)
 	}
-	f = placement.Even(f, c.Even)
 	a := placement.Solve(f, placement.Limit{Seed: c.Seed, Stop: func() bool { return time.Since(began) >= c.Limit },
 		Tell: func(worth, bound float64, steps int) {
 			if now := time.Now(); !c.Quiet && now.Sub(told) >= time.Second {
@@ -61,9 +63,6 @@
 				fmt.Fprintf(os.Stderr, "%3.0f s: worth %.6g, at the most %.6g, %d steps\n", now.Sub(began).Seconds(), worth, bound, steps)
 			}
 		}})
-	if c.Hosts {
-		whole = f
-	}
 	made := placement.Make(whole, a, time.Now(), c.Holds, c.Fades)
 	printPlan(out, f, a, made)
 	if c.Out == "" {
--- a/internal/cells/fleet.go
+++ b/internal/cells/fleet.go
@@ -112,7 +112,7 @@
 	if c.number > 0 {
 		h := fnv.New64a()
 		_, _ = h.Write([]byte(name))
-		seed ^= mix(h.Sum64())
+		seed ^= Mix(h.Sum64())
 	}
 	c.module = policy.New(f.settings(c), seed, c)
 	return c
--- a/internal/cells/plan.go
+++ b/internal/cells/plan.go
@@ -98,11 +98,11 @@
 
 // Position is where a flight stands in the order in which flights cross, from 0 to under 1.
 func Position(flight uint64) float64 {
-	return float64(mix(flight)>>11) / (1 << 53)
+	return float64(Mix(flight)>>11) / (1 << 53)
 }
 
-// mix spreads a key over all bits (the finalizer of SplitMix64).
-func mix(x uint64) uint64 {
+// Mix spreads a key over all bits (the finalizer of SplitMix64).
+func Mix(x uint64) uint64 {
 	x += 0x9e3779b97f4a7c15
 	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
 	x = (x ^ x>>27) * 0x94d049bb133111eb
@@ -492,5 +492,5 @@
 	_, _ = h.Write([]byte(host))
 	_, _ = h.Write([]byte{0})
 	_, _ = h.Write([]byte(cell))
-	return (float64(mix(h.Sum64())>>11) + 0.5) / (1 << 53)
+	return (float64(Mix(h.Sum64())>>11) + 0.5) / (1 << 53)
 }
--- a/internal/lab/exact.go
+++ b/internal/lab/exact.go
@@ -195,7 +195,7 @@
 	c := newExactCase(f)
 	e := &exactSearch{exactCase: c, best: floor, budget: budget}
 	e.prepare()
-	e.parts, e.flights, e.now = make([][]held, len(c.serve)), make([]int, len(c.serve)), make([]float64, len(c.serve))
+	e.parts, e.flights = make([][]held, len(c.serve)), make([]int, len(c.serve))
 	top := e.bound(0)
 	e.visit(0)
 	if e.budget <= 0 {
@@ -263,7 +263,6 @@
 	ways    [][]exactWay // of each group
 	parts   [][]held
 	flights []int
-	now     []float64
 }
 
 type exactWay struct {
@@ -512,7 +511,7 @@
 func PlacementCase(rng *rand.Rand, hosts, flights int) *placement.Fleet {
 	f := &placement.Fleet{Prices: placement.Usual()}
 	f.Prices.Caution = float64(rng.IntN(2))
-	rooms := []string{"treforest", "llandaff"}[:1+min(rng.IntN(4), 1)]
+	rooms := bothRooms[:1+min(rng.IntN(4), 1)]
 	equal := rng.IntN(3) == 0 // ties
 	largest, serves := 0.0, 0.0
 	for i := range 1 + rng.IntN(hosts) {
--- a/internal/lab/experiment.go
+++ b/internal/lab/experiment.go
@@ -181,7 +181,7 @@
 		if i/2%2 == 1 {
 			kind, speed = "slow-clock", 0.51+0.18*rng.Float64()
 		}
-		out[i] = Spec{ID: fmt.Sprintf("s-%08x", rng.Uint32()), Room: []string{"treforest", "llandaff"}[i%2], Kind: kind,
+		out[i] = Spec{ID: fmt.Sprintf("s-%08x", rng.Uint32()), Room: bothRooms[i%2], Kind: kind,
 			Number: i / 4, Cores: 3, Speed: speed, PerCore: e.PerCore, Most: 1800}
 	}
 	return out
@@ -212,12 +212,11 @@
 	if e.Skew == 0 {
 		return ""
 	}
-	unit := func(x uint64) float64 { return cells.Position(x) }
 	home := 1
 	if a.home < e.Skew {
 		home = 0
 	}
-	if unit(a.key^a.group) >= mostlyHome {
+	if cells.Position(a.key^a.group) >= mostlyHome {
 		home = 1 - home
 	}
 	return bothRooms[home]
--- a/internal/lab/placement.go
+++ b/internal/lab/placement.go
@@ -112,7 +112,7 @@
 func PlacementFleet(seed uint64, hosts, each int, demand float64) *placement.Fleet {
 	rng := rand.New(rand.NewPCG(seed, uint64(hosts)))
 	f := &placement.Fleet{Prices: placement.Usual()}
-	serves, rooms := 0.0, []string{"treforest", "llandaff"}
+	serves, rooms := 0.0, bothRooms
 	for i := range hosts {
 		h := placement.Host{ID: fmt.Sprintf("h%05d", i), Room: rooms[i%2], Kind: "full-speed", Capacity: 180 * (0.85 + 0.25*rng.Float64())}
 		if i/2%2 == 1 {
--- a/internal/lab/virtual.go
+++ b/internal/lab/virtual.go
@@ -7,7 +7,6 @@
 	"maps"
 	"math/rand/v2"
 	"slices"
-	"strconv"
 	"time"
 
 	"tealtiller/internal/cells"
@@ -53,7 +52,7 @@
 	Asked, Well     float64 // seconds asked for, and those in which messages came within the aim
 	Placed, Crossed int     // connections, and those in another room than their client's
 	Joined, HeldBy  int     // connections counted, and by how many hosts their flights were then held in all
-	Moves, Attempts int
+	Moves           int
 }
 
 // Service is the share of what was asked for that was served well.
@@ -340,7 +339,6 @@
 			b.fleet.Outcome(v.now, request, r, false)
 		})
 	}
-	v.Result.Worth.Attempts++
 	if c == nil || m == nil {
 		outcome(0, policy.Moot)
 		return
@@ -371,7 +369,7 @@
 	}
 	v.final(c)
 	w := &v.Result.Worth
-	if w.Placed++; c.carrier != "" && v.exp.Skew > 0 && m.Room != v.exp.room(&c.arrival) {
+	if w.Placed++; v.exp.Skew > 0 && m.Room != v.exp.room(&c.arrival) {
 		w.Crossed++
 	}
 	if v.held[c.group] == nil {
@@ -464,20 +462,10 @@
 		}
 		rec.Hosts = append(rec.Hosts, h)
 	}
-	at := map[string]int{}
 	for _, id := range slices.Sorted(maps.Keys(b.clients)) {
-		c := b.clients[id]
-		if c.host == nil {
-			continue
+		if c := b.clients[id]; c.host != nil {
+			rec.Count(c.group, c.carrier, c.host.ID, c.class)
 		}
-		name := fmt.Sprintf("%x %s", c.group, c.host.ID)
-		i, known := at[name]
-		if !known {
-			i = len(rec.Stands)
-			at[name] = i
-			rec.Stands = append(rec.Stands, placement.Stand{Key: strconv.FormatUint(c.group, 16), Carrier: c.carrier, Host: c.host.ID, Open: map[string]int{}})
-		}
-		rec.Stands[i].Open[c.class]++
 	}
 	v.gather.Add(rec)
 	v.at(v.now+time.Second, b.record)
--- a/internal/lab/worth.go
+++ b/internal/lab/worth.go
@@ -22,13 +22,6 @@
 	{"quarter_lost", 0.62, []Fault{{Kind: "crash", At: "20s", For: "15s", Part: 0.25}}},
 }
 
-// Dayed is how a day went under one way of weighing.
-type Dayed struct {
-	Day, Weights string
-	Worth        Worth
-	Fallen       int
-}
-
 // planOf makes a plan of what a day's balancers recorded: each flight in one room's cell, all rooms as full. With truth,
 // the hosts' real capacity stands in place of what was estimated.
 func planOf(f *placement.Fleet, specs []Spec, truth, byHost bool, born time.Time) (*placement.Plan, float64) {
@@ -89,13 +82,12 @@
 
 // ProveWorth plays the days with equal weights, with those that discovery tells, and with plans made of a day before
 // them that was recorded, with true and with estimated capacities.
-func ProveWorth(dir string, seed uint64, binary string) (*Verdict, []Dayed, error) {
+func ProveWorth(dir string, seed uint64, binary string) (*Verdict, error) {
 	base, err := Load(filepath.Join(dir, "placement.hcl"))
 	if err != nil {
-		return nil, nil, err
+		return nil, err
 	}
 	v := &Verdict{Proof: "placement-worth", Seed: seed, Figures: map[string]any{}}
-	var all []Dayed
 	born := time.Unix(0, int64(virtualStart))
 	for _, day := range worthDays {
 		before := *base
@@ -106,7 +98,7 @@
 		for _, name := range []string{"plan_true", "plan_estimated", "plan_by_host"} {
 			f, err := recorded.gather.Fleet(placement.Usual())
 			if err != nil {
-				return nil, nil, err
+				return nil, err
 			}
 			off := 0.0
 			if plans[name], off = planOf(f, recorded.specs, name != "plan_estimated", name == "plan_by_host", born); name == "plan_estimated" {
@@ -118,7 +110,7 @@
 		for _, weights := range []string{"equal", "told", "plan_true", "plan_estimated", "plan_by_host"} {
 			e, err := under(*base, plans[weights])
 			if err != nil {
-				return nil, nil, err
+				return nil, err
 			}
 			e.Skew, e.Faults, e.Weights = day.skew, day.faults, "equal"
 			if weights == "told" {
@@ -127,7 +119,6 @@
 			// the day after: other clients, the same hosts and flights
 			h := NewVirtual(&e, seed, true).Run()
 			worth[weights] = h.Worth
-			all = append(all, Dayed{day.name, weights, h.Worth, h.Fallen})
 			v.must(h.Lost == 0 && h.Doubled == 0, "%s, %s: lost %d, doubled %d", day.name, weights, h.Lost, h.Doubled)
 			v.must(h.Fallen == 0, "%s, %s: %d cold hosts pushed over", day.name, weights, h.Fallen)
 			v.Figures[day.name+"_"+weights] = figuresOf(h.Worth)
@@ -141,10 +132,7 @@
 			}
 		}
 	}
-	if binary == "" {
-		return v, all, nil
-	}
-	return v, all, v.worthOnSockets(*base, seed, binary)
+	return v, v.worthOnSockets(*base, seed, binary)
 }
 
 // worthOnSockets records a day with equal weights against real balancers, and plays it again with the plan made of that.
--- a/internal/net/record.go
+++ b/internal/net/record.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"os"
-	"strconv"
 	"strings"
 	"time"
 
@@ -73,24 +72,11 @@
 		}
 		rec.Hosts = append(rec.Hosts, h)
 	}
-	type flight struct {
-		key  uint64
-		host string
-	}
-	at := map[flight]int{}
 	for _, d := range n.desks.All() {
-		if !d.up {
-			continue
-		}
-		o := &d.front.opening
-		f := flight{n.request(*o).Key, d.server}
-		i, known := at[f]
-		if !known {
-			i = len(rec.Stands)
-			at[f] = i
-			rec.Stands = append(rec.Stands, placement.Stand{Key: strconv.FormatUint(f.key, 16), Carrier: o.Carrier, Host: d.server, Open: map[string]int{}})
+		if d.up {
+			o := d.front.opening
+			rec.Count(n.request(o).Key, o.Carrier, d.server, o.Class)
 		}
-		rec.Stands[i].Open[o.Class]++
 	}
 	return rec
 }
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -68,11 +68,15 @@
 
 // Serves is how many loads a host serves within the aims.
 func (h *Host) Serves(p *Prices) float64 {
-	warm := h.Warm
-	if warm == 0 {
-		warm = 1
+	return h.present() * p.Fill * max(1-p.Caution*h.Error, 0.1)
+}
+
+// present is the capacity that a host has over the plan's time.
+func (h *Host) present() float64 {
+	if h.Warm == 0 {
+		return h.Capacity
 	}
-	return h.Capacity * warm * p.Fill * max(1-p.Caution*h.Error, 0.1)
+	return h.Capacity * h.Warm
 }
 
 func (h *Host) spread() float64 { return max(h.Spread, 1) }
@@ -168,24 +172,22 @@
 // problem is a fleet in numbers. Hosts and flights are in the order of their names, so that the order in which they
 // were told changes nothing.
 type problem struct {
-	fleet    *Fleet
-	hosts    []int // index in the fleet
-	serves   []float64
-	room     []int // of each host
-	over     []float64
-	rooms    []string
-	byRoom   [][]int
-	pieces   []piece
-	flights  []int // index in the fleet
-	from     []int // pieces of flight i are from[i] to from[i+1]
-	flight   []float64
-	prices   Prices
-	waste    float64 // worth of a load that serves nobody
-	worth    float64 // of all
-	load     float64
-	capacity float64
-	// the least that a host of each room pays for a flight
-	leastOver []float64
+	fleet   *Fleet
+	hosts   []int // index in the fleet
+	serves  []float64
+	room    []int // of each host
+	over    []float64
+	rooms   []string
+	byRoom  [][]int
+	pieces  []piece
+	flights []int // index in the fleet
+	from    []int // pieces of flight i are from[i] to from[i+1]
+	flight  []float64
+	prices  Prices
+	waste   float64   // worth of a load that serves nobody
+	worth   float64   // of all
+	least   []float64 // that a host of each room pays for a flight
+	home    []bool    // of each host: the plan in force has a flight there, so that it is like no other
 }
 
 func compile(f *Fleet) *problem {
@@ -224,16 +226,14 @@
 		p.byRoom[r] = append(p.byRoom[r], j)
 		p.serves = append(p.serves, h.Serves(&f.Prices))
 		p.over = append(p.over, f.Prices.Piece*h.spread())
-		p.capacity += p.serves[j]
 	}
-	for _, hosts := range p.byRoom {
-		least := 0.0
+	p.least, p.home = make([]float64, len(p.rooms)), make([]bool, len(p.hosts))
+	for r, hosts := range p.byRoom {
 		for j, h := range hosts {
-			if j == 0 || p.over[h] < least {
-				least = p.over[h]
+			if j == 0 || p.over[h] < p.least[r] {
+				p.least[r] = p.over[h]
 			}
 		}
-		p.leastOver = append(p.leastOver, least)
 	}
 	total := func(i int) (sum float64) {
 		for _, part := range f.Flights[i].Parts {
@@ -250,6 +250,7 @@
 			unit += total(i) / 32
 		}
 	}
+	load := 0.0
 	for n, i := range p.flights {
 		fl := &f.Flights[i]
 		p.from = append(p.from, len(p.pieces))
@@ -263,6 +264,8 @@
 			was, known := names[fl.Was]
 			if !known {
 				was = none
+			} else {
+				p.home[was] = true
 			}
 			cuts := 1
 			if unit > 0 && part.Load > unit {
@@ -275,12 +278,12 @@
 			sum += part.Load
 			p.worth += part.Worth
 		}
-		p.load += sum
+		load += sum
 		p.flight = append(p.flight, sum)
 	}
 	p.from = append(p.from, len(p.pieces))
-	if p.load > 0 {
-		p.waste = f.Prices.Waste * p.worth / p.load
+	if load > 0 {
+		p.waste = f.Prices.Waste * p.worth / load
 	}
 	if len(p.over) > 0 {
 		least := slices.Min(p.over)
@@ -309,16 +312,16 @@
 
 // Value is what a placement is worth a second, and of what that is made.
 type Value struct {
-	Total    float64 `json:"total"`    // served, less what follows
-	Served   float64 `json:"served"`   // worth of what is served
-	Shed     float64 `json:"shed"`     // worth of what is not
-	ShedLoad float64 `json:"shedLoad"` // and its load
-	Crossing float64 `json:"crossing"` // what crossing costs
-	Waste    float64 `json:"waste"`    // what holding flights on more than one host costs
-	Moved    float64 `json:"moved"`
-	Crossed  float64 `json:"crossed"` // worth that crosses
-	Pieces   int     `json:"pieces"`  // pairs of flight and host
-	Feasible bool    `json:"feasible"`
+	Total    float64 // served, less what follows
+	Served   float64 // worth of what is served
+	Shed     float64 // worth of what is not
+	ShedLoad float64 // and its load
+	Crossing float64 // what crossing costs
+	Waste    float64 // what holding flights on more than one host costs
+	Moved    float64
+	Crossed  float64 // worth that crosses
+	Pieces   int     // pairs of flight and host
+	Feasible bool
 }
 
 // tolerance is what sums of floating point may be off by, as a share.
@@ -373,7 +376,7 @@
 // and its move; the flight's price is paid for each flight that has a piece there, served or not.
 func (s *state) host(h int, items []int32) (total float64, d detail) {
 	if len(items) == 0 {
-		return 0, d
+		return 0, detail{free: s.serves[h]}
 	}
 	s.stamp++
 	load := 0.0
--- a/internal/placement/record.go
+++ b/internal/placement/record.go
@@ -20,6 +20,27 @@
 	Room     string         `json:"room"`
 	Hosts    []RecordedHost `json:"hosts"`
 	Stands   []Stand        `json:"stands"`
+
+	at map[held]int // where in Stands
+}
+
+type held struct {
+	key  uint64
+	host string
+}
+
+// Count counts a connection of a flight that stands on a host.
+func (r *Record) Count(key uint64, carrier, host, class string) {
+	i, known := r.at[held{key, host}]
+	if !known {
+		if r.at == nil {
+			r.at = map[held]int{}
+		}
+		i = len(r.Stands)
+		r.at[held{key, host}] = i
+		r.Stands = append(r.Stands, Stand{Key: strconv.FormatUint(key, 16), Carrier: carrier, Host: host, Open: map[string]int{}})
+	}
+	r.Stands[i].Open[class]++
 }
 
 // RecordedHost is a desk host as its last load report and the list tell of it.
@@ -167,14 +188,10 @@
 		f.Flights = append(f.Flights, fl)
 	}
 	slices.SortFunc(f.Flights, func(a, b Flight) int { return cmp.Compare(a.ID, b.ID) })
-	return f, errorsOf(f)
-}
-
-func errorsOf(f *Fleet) error {
 	if all := f.Check(); len(all) > 0 {
-		return all[0]
+		return nil, all[0]
 	}
-	return nil
+	return f, nil
 }
 
 // Estimator works out what hosts can do from how much they held and what they reported then. A host's capacity is the
--- a/internal/placement/shares.go
+++ b/internal/placement/shares.go
@@ -245,16 +245,15 @@
 // it. It is done to a fleet before it is solved: more capacity still is never worth less. Demand over what the fleet
 // serves leaves it as it is.
 func Even(f *Fleet, times float64) *Fleet {
-	demand, capacity := 0.0, 0.0
+	demand, capacity, cells := 0.0, 0.0, f.cells()
 	for i := range f.Flights {
+		pairs := len(f.Flights[i].Parts)
+		if cells {
+			pairs = 1
+		}
+		demand += float64(pairs) * pair * f.Prices.Piece
 		for _, p := range f.Flights[i].Parts {
 			demand += p.Load
-			if !f.cells() {
-				demand += pair * f.Prices.Piece
-			}
-		}
-		if f.cells() {
-			demand += pair * f.Prices.Piece
 		}
 	}
 	for i := range f.Hosts {
@@ -285,12 +284,7 @@
 		if at[h.Room] == nil {
 			at[h.Room] = &Host{ID: h.Room, Room: h.Room, Spread: pair}
 		}
-		// errors of many hosts even out; what is left of them is told as none
-		warm := h.Warm
-		if warm == 0 {
-			warm = 1
-		}
-		at[h.Room].Capacity += h.Capacity * warm
+		at[h.Room].Capacity += h.present() // errors of many hosts even out; what is left of them is told as none
 	}
 	for _, room := range keys(at) {
 		out.Hosts = append(out.Hosts, *at[room])
--- a/internal/placement/solve.go
+++ b/internal/placement/solve.go
@@ -6,6 +6,8 @@
 	"math"
 	"math/rand/v2"
 	"slices"
+
+	"tealtiller/internal/cells"
 )
 
 // Method is how an answer was found, the best first.
@@ -65,7 +67,8 @@
 	s := &search{problem: p, limit: limit, rng: rand.New(rand.NewPCG(limit.Seed, 11))}
 	method, best := s.fallback()
 	s.best, s.total = best, p.value(best).Total
-	s.lower(&dual{problem: p, price: make([]float64, len(p.rooms))}) // the bound at no price needs no search
+	free := &dual{problem: p, price: make([]float64, len(p.rooms))} // the bound at no price needs no search
+	s.bound, s.prices = free.most(nil), free.price
 	if !s.ended() {
 		rounds := 60
 		if len(p.pieces) > 2000 {
@@ -133,8 +136,7 @@
 	best    []int32
 	total   float64
 	bound   float64
-	bounded bool
-	prices  []float64
+	prices  []float64 // of the bound
 	steps   int
 	asked   int
 	stopped bool
@@ -207,7 +209,6 @@
 type dual struct {
 	*problem
 	price []float64
-	brute bool // whether all flights were tried in full
 }
 
 const mostCombinations = 128
@@ -248,7 +249,7 @@
 				buys[r] += pieces[c].load
 				if used&(1<<r) == 0 {
 					used |= 1 << r
-					buys[r] += d.least(r)
+					buys[r] += d.least[r]
 				}
 			}
 		}
@@ -272,7 +273,7 @@
 			}
 		}
 		if sum += best; at != none && buys != nil {
-			buys[at] += pieces[c].load + share*d.least(at)
+			buys[at] += pieces[c].load + share*d.least[at]
 		}
 	}
 	return sum
@@ -290,11 +291,8 @@
 	return g
 }
 
-// least is the least that a host of a room pays for a flight, hold what that costs at the prices.
-func (d *dual) least(r int) float64 {
-	return d.leastOver[r]
-}
-func (d *dual) hold(r int) float64 { return d.least(r) * (d.waste + d.price[r]) }
+// hold is the least that holding a flight in a room costs at the prices.
+func (d *dual) hold(r int) float64 { return d.least[r] * (d.waste + d.price[r]) }
 
 // most is the bound at these prices; buys, if not nil, takes the load bought in each room.
 func (d *dual) most(buys []float64) float64 {
@@ -310,15 +308,6 @@
 	return sum
 }
 
-// lower takes a bound if it is lower than the one known.
-func (s *search) lower(d *dual) float64 {
-	b := d.most(nil)
-	if !s.bounded || b < s.bound {
-		s.bound, s.bounded, s.prices = b, true, slices.Clone(d.price)
-	}
-	return b
-}
-
 // descend looks for the prices with the lowest bound, by steps against the surplus of each room. The bound holds at
 // every step, so it may end at any.
 func (s *search) descend(rounds int) *dual {
@@ -451,6 +440,23 @@
 	return share*(sum-k.price[k.room[h]]*load) - k.over[h]*(k.waste+k.price[k.room[h]])
 }
 
+// best is the host where pieces bring the most, and how much; none where they bring nothing.
+func (k *packing) best(tight bool, pieces ...int) (brings float64, at int) {
+	load := 0.0
+	for _, i := range pieces {
+		load += k.pieces[i].load
+	}
+	at = none
+	for r := range k.rooms {
+		if h := k.pick(r, load, tight); h != none {
+			if b := k.brings(h, pieces...); b > brings {
+				brings, at = b, h
+			}
+		}
+	}
+	return brings, at
+}
+
 // greedy places the largest flights first, each as a whole in the room, or its parts in the rooms, where they bring
 // the most at the prices of the bound.
 //
@@ -473,7 +479,7 @@
 			heap.Init(r)
 		}
 	}
-	all, where := make([]int, 0, 8), make([]int, 0, 8)
+	all := make([]int, 0, 8)
 	for n := range s.flight {
 		all = all[:0]
 		for i := s.from[n]; i < s.from[n+1]; i++ {
@@ -483,43 +489,18 @@
 		if len(all) == 0 || k.at[all[0]] != none {
 			continue
 		}
-		whole, at := 0.0, none
-		for r := range s.rooms {
-			if h := k.pick(r, s.flight[n], tight); h != none {
-				if b := k.brings(h, all...); b > whole {
-					whole, at = b, h
-				}
-			}
-		}
+		whole, at := k.best(tight, all...)
 		apart := 0.0
-		where = append(where[:0], all...)
-		for j, i := range all {
-			if len(all) == 1 {
-				break
-			}
-			best := 0.0
-			where[j] = none
-			for r := range s.rooms {
-				if h := k.pick(r, s.pieces[i].load, tight); h != none {
-					if b := k.brings(h, i); b > best {
-						best, where[j] = b, h
-					}
-				}
+		for _, i := range all {
+			if len(all) > 1 {
+				b, _ := k.best(tight, i)
+				apart += b
 			}
-			apart += best
 		}
 		switch {
 		case len(all) > 1 && apart > whole || len(all) > len(s.rooms):
 			for _, i := range all { // anew: what went before may have taken the room
-				best, at := 0.0, none
-				for r := range s.rooms {
-					if h := k.pick(r, s.pieces[i].load, tight); h != none {
-						if b := k.brings(h, i); b > best {
-							best, at = b, h
-						}
-					}
-				}
-				if at != none {
+				if _, at := k.best(tight, i); at != none {
 					k.put(at, i)
 				}
 			}
@@ -556,7 +537,7 @@
 	for n := range s.flight {
 		best := none
 		if len(s.hosts) > 0 {
-			best = int(mix(s.fleet.Flights[s.flights[n]].ID) % uint64(len(s.hosts)))
+			best = int(cells.Mix(s.fleet.Flights[s.flights[n]].ID) % uint64(len(s.hosts)))
 		}
 		for i := s.from[n]; i < s.from[n+1]; i++ {
 			at[i] = int32(best)
@@ -565,14 +546,6 @@
 	return at
 }
 
-// mix spreads a key over all bits (the finalizer of SplitMix64).
-func mix(x uint64) uint64 {
-	x += 0x9e3779b97f4a7c15
-	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
-	x = (x ^ x>>27) * 0x94d049bb133111eb
-	return x ^ x>>31
-}
-
 // ---- Improving a placement ----
 
 // state is a placement under change, with what each host is worth in it.
@@ -614,9 +587,6 @@
 func (s *state) weigh(h int) {
 	worth, d := s.host(h, s.items[h])
 	s.worths[h], s.free[h] = worth, d.free
-	if len(s.items[h]) == 0 {
-		s.free[h] = s.serves[h]
-	}
 }
 
 func (s *state) shift(c change) {
@@ -981,12 +951,12 @@
 // twin tells that an empty host is chosen where one before it is empty and the same.
 func (b *brancher) twin(at []int32) bool {
 	for c, h := range at {
-		if h == none || len(b.st.items[h]) > 0 || b.home(h) {
+		if h == none || len(b.st.items[h]) > 0 || b.home[h] {
 			continue
 		}
 		for o := int32(0); o < h; o++ {
 			if len(b.st.items[o]) == 0 && b.serves[o] == b.serves[h] && b.room[o] == b.room[h] && b.over[o] == b.over[h] &&
-				!b.home(o) && !slices.Contains(at[:c], o) {
+				!b.home[o] && !slices.Contains(at[:c], o) {
 				return true
 			}
 		}
@@ -994,11 +964,6 @@
 	return false
 }
 
-// home tells that a plan in force has a flight there, so that the host is like no other.
-func (b *brancher) home(h int32) bool {
-	return slices.ContainsFunc(b.pieces, func(c piece) bool { return c.was == int(h) })
-}
-
 func sum(all []float64) (total float64) {
 	for _, x := range all {
 		total += x
--- a/internal/placement/weigher.go
+++ b/internal/placement/weigher.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"time"
 
+	"tealtiller/internal/cells"
 	"tealtiller/policy"
 )
 
@@ -44,19 +45,19 @@
 	if w.plan == nil {
 		return entries
 	}
-	out := slices.Clone(entries)
-	weights := w.plan.Weigh(now, w.room, w.Listed())
+	out, list := slices.Clone(entries), w.Listed()
+	weights := w.plan.Weigh(now, w.room, list)
 	for i := range out {
 		if x, listed := weights[out[i].ID]; listed && out[i].State != policy.Gone {
 			out[i].Weight, w.given[out[i].ID] = x, x
 		}
 	}
-	return append(out, w.changed(weights)...)
+	return append(out, w.changed(list, weights)...)
 }
 
 // changed is the listed hosts whose weight is another than was handed on.
-func (w *Weigher) changed(weights map[string]float64) (out []policy.Server) {
-	for _, s := range w.Listed() {
+func (w *Weigher) changed(list []policy.Server, weights map[string]float64) (out []policy.Server) {
+	for _, s := range list {
 		x := weights[s.ID]
 		if old, given := w.given[s.ID]; !given || old != x {
 			s.Weight, w.given[s.ID] = x, x
@@ -77,7 +78,8 @@
 				w.given[id] = s.Weight
 			}
 		}
-		return w.changed(plan.Weigh(now, room, w.Listed()))
+		list := w.Listed()
+		return w.changed(list, plan.Weigh(now, room, list))
 	case old != nil: // as discovery tells
 		out := w.Listed()
 		out = slices.DeleteFunc(out, func(s policy.Server) bool { return w.given[s.ID] == s.Weight })
@@ -139,7 +141,7 @@
 		return "", false
 	}
 	force, _ := p.Force(now)
-	if float64(mix(flight)>>11)/(1<<53) >= force {
+	if cells.Position(flight) >= force {
 		return "", false
 	}
 	cell, ok := p.cells[flight]
