One of many balancers asks the hosts it would compare before it places

Cause, by lines: policy.walk compared own counts, which are 0 and 0 at nearly every one of 80 balancers, so the tie gave all to the top; what a balancer learned (net.delays.look) it learned of hosts where it held something, never of those it was about to use; look asked each such host every 0.5 to 3 s whatever the number of siblings, over a connection that stayed open.

Changed: where more balancers than servers share the list (and more than 8), ties are drawn, and a request waits for reports of the two it would compare, for less than its aim and at most as many questions as attempts; one that gives none is passed over. The intervals of other questions grow by the holders that a host should have by our own part (net.spread), and such a probe's connection is closed when answered.

--- a/cmd/tealtiller/main.go
+++ b/cmd/tealtiller/main.go
@@ -22,7 +22,8 @@
 )
 
 type commands struct {
-	LogFormat string `enum:"text,json" default:"text" env:"EDGE_LOG_FORMAT" help:"How the log is written: ${enum}."`
+	LogFormat string     `enum:"text,json" default:"text" env:"EDGE_LOG_FORMAT" help:"How the log is written: ${enum}."`
+	LogLevel  slog.Level `default:"info" env:"EDGE_LOG_LEVEL" help:"The least that is logged: debug adds each route step, report and move."`
 
 	Serve   serve   `cmd:"" default:"withargs" help:"Serve clients; what runs where no sub-command is named."`
 	Check   check   `cmd:"" help:"Check operator's files and tell every error; exit code 1 if there is one."`
@@ -69,9 +70,10 @@
 
 // Run serves until the node has drained or its listener fails.
 func (s serve) Run(c *commands) error {
-	var handler slog.Handler = slog.NewTextHandler(os.Stderr, nil)
+	options := &slog.HandlerOptions{Level: c.LogLevel}
+	var handler slog.Handler = slog.NewTextHandler(os.Stderr, options)
 	if c.LogFormat == "json" {
-		handler = slog.NewJSONHandler(os.Stderr, nil)
+		handler = slog.NewJSONHandler(os.Stderr, options)
 	}
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGHUP, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
--- a/internal/cells/cost_test.go
+++ b/internal/cells/cost_test.go
@@ -19,6 +19,7 @@
 func (still) Fail(string)                {}
 func (still) Wake(ticks, int64)          {}
 func (still) Watch(bool)                 {}
+func (still) Ask(string)                 {}
 func (still) Log(string)                 {}
 
 // One placement and its end, on 1,000 hosts: the bare module, a Fleet without a plan, with one cell, with 40.
--- a/internal/cells/fleet.go
+++ b/internal/cells/fleet.go
@@ -639,6 +639,13 @@
 	}
 }
 
+// Reported tells of a desk host's report, or that it gave none; whoever may have asked for it hears of it.
+func (f *Fleet) Reported(now time.Duration, server string, delay time.Duration, answered bool) {
+	for _, c := range f.inOrder() {
+		c.module.Reported(now, server, delay, answered)
+	}
+}
+
 // Succeed tells that this process takes over from another one of its balancer.
 func (f *Fleet) Succeed(now time.Duration) {
 	for _, c := range f.inOrder() {
@@ -687,6 +694,9 @@
 // slots is how many timer names a module has room for; the Fleet's own are under all of them.
 const slots, timerMoves, timerDeal = 16, -1, -2
 
+// Ask asks a desk host for a report.
+func (c *cell) Ask(server string) { c.fleet.host.Ask(server) }
+
 // Wake does what has fallen due.
 func (f *Fleet) Wake(now time.Duration, name int64) {
 	if name == timerMoves {
--- a/internal/lab/virtual.go
+++ b/internal/lab/virtual.go
@@ -419,6 +419,7 @@
 	b.v.at(at, func() { b.fleet.Wake(b.v.now, name) })
 }
 func (b *virtualBalancer) Tell(uint32, time.Duration) {}
+func (b *virtualBalancer) Ask(string)                 {}
 func (b *virtualBalancer) Watch(bool)                 {}
 func (b *virtualBalancer) Log(string)                 {}
 
--- a/internal/net/carrier.go
+++ b/internal/net/carrier.go
@@ -27,6 +27,7 @@
 		return false
 	}
 	d := f.desk
+	c.node.trace("step-abandoned", "host", d.server, "id", f.opening.ID, "sent", d.sent)
 	d.drop(false)
 	return d.sent
 }
@@ -34,6 +35,7 @@
 func (c carrier) Busy(owner slot.ID, retryAfter time.Duration) {
 	c.node.count.Add("operations answered: busy")
 	if f, ok := c.node.fronts.Get(owner); ok {
+		c.node.trace("refused", "id", f.opening.ID, "back", retryAfter, "returned", f.opening.Returned, "mid", f.opening.MidFlow)
 		f.busy(c.node.now(), retryAfter)
 	}
 }
@@ -48,11 +50,17 @@
 func (c carrier) Move(owner slot.ID) {
 	if f, ok := c.node.fronts.Get(owner); ok && f.desk != nil {
 		d := f.desk
+		c.node.trace("moved", "host", d.server, "id", f.opening.ID)
 		f.move(c.node.now())
 		d.drop(false)
 	}
 }
 
+func (c carrier) Ask(server string) {
+	n := c.node
+	n.ask(server, n.delays.of(server), n.now())
+}
+
 func (c carrier) Watch(on bool) { c.node.pool.watch(on) }
 
 func (c carrier) Log(text string) { c.node.log.Info("decision", "text", text) }
--- a/internal/net/delay.go
+++ b/internal/net/delay.go
@@ -13,8 +13,9 @@
 // a client's line to the desk host's next, or what the desk host's own reports let expect, if that is more:
 // a crowded desk host may echo at once and still have work piled up.
 type delays struct {
-	third time.Duration
-	lags  map[string]*lag
+	third  time.Duration
+	spread float64 // how many times as long as alone we wait between two questions to a desk host
+	lags   map[string]*lag
 }
 
 // lag is what is known of one desk host, while connections of ours stand there or it is known to be crowded.
@@ -35,7 +36,17 @@
 // look is how often desk hosts are looked at; noteEvery, how often the module is told at most.
 const look, noteEvery = 250 * time.Millisecond, time.Second
 
-func newDelays() delays { return delays{lags: map[string]*lag{}} }
+func newDelays() delays { return delays{lags: map[string]*lag{}, spread: 1} }
+
+// spread is by how much the intervals between questions to a desk host grow with the fleet. They were measured with up
+// to usualFleet balancers that all hold connections at it. Of many, those hold some that by our own part of the
+// connections it should have, on the mean, and all together ask it no more often.
+func spread(siblings, standing, listed int) float64 {
+	holders := float64(siblings) * min(float64(standing)/float64(max(listed, 1)), 1)
+	return max(holders/usualFleet, 1)
+}
+
+const usualFleet = 4
 
 // aims takes the settings' message aims; without any, desk hosts are not looked at.
 func (s *delays) aims(set policy.Settings) {
@@ -91,6 +102,16 @@
 			}
 		}
 	}
+	standing := 0
+	for _, l := range s.lags {
+		standing += l.report.open
+	}
+	many := false
+	if set := n.cfg.Settings.Policy; set.Siblings > 1 {
+		listed, _ := n.table.Listed(now)
+		many = set.Many(listed)
+		s.spread = spread(set.Siblings, standing, listed)
+	}
 	for _, server := range slices.Sorted(maps.Keys(s.lags)) {
 		l := s.lags[server]
 		if !l.seen && !l.report.crowded(now) && !l.told {
@@ -102,10 +123,11 @@
 		if l.fresh {
 			every = probeEvery
 		}
+		every = time.Duration(float64(every) * s.spread)
 		if l.waiting > 0 {
 			every = look
 		}
-		if n.cfg.Settings.Probes && now-l.probedAt >= every {
+		if n.cfg.Settings.Probes && now-l.probedAt >= every && (l.seen || !many) { // many ask when they place
 			l.fresh, l.probedAt = false, now
 			n.ask(server, l, now)
 		}
@@ -138,10 +160,12 @@
 		return
 	}
 	took := max(l.report.expected(now), l.echo, l.silent(n, now))
+	echo := l.echo
 	l.echo = 0
 	slow := took > s.third
 	if slow || l.told {
 		n.count.Add("delays told")
+		n.trace("delay-told", "host", server, "ms", took.Milliseconds(), "echo", echo, "x0", l.report.x0)
 		l.toldAt = now
 		n.table.Delay(now, server, took)
 	}
--- a/internal/net/desk.go
+++ b/internal/net/desk.go
@@ -110,6 +110,7 @@
 		return gnet.None
 	}
 	d.sent = true
+	d.node.trace("step-sent", "host", d.server, "id", d.front.opening.ID)
 	d.node.write(c, d.front.opening.Forward(d.until-now)) // whole: a line fits a new connection's buffer
 	if d.conn != nil {
 		d.node.count.Add("route steps written")
@@ -151,6 +152,7 @@
 		d.up, d.upAt = true, now
 		d.node.delays.of(d.server).fresh = true
 		d.node.count.Add("operations served")
+		d.node.trace("step-up", "host", d.server, "id", d.front.opening.ID, "returned", d.front.opening.Returned, "mid", d.front.opening.MidFlow)
 		d.node.write(d.front.conn, text)
 		d.node.table.Up(now, d.front.op)
 		d.front.traffic(now)
@@ -224,6 +226,7 @@
 		return
 	}
 	d.node.count.Add("connections moved: silent desk host")
+	d.node.trace("moved-silent", "host", d.server)
 	d.front.move(now)
 	d.close(now, false, policy.Reset)
 }
@@ -265,6 +268,7 @@
 // close ends the socket and tells the outcome.
 func (d *desk) close(now time.Duration, reset bool, result policy.Result) {
 	if !d.over {
+		d.node.trace("step-ended", "host", d.server, "id", d.front.opening.ID, "stood", d.up, "result", int(result), "after", now-d.upAt)
 		d.drop(reset)
 		d.node.table.Ended(now, d.front.op, result)
 	}
--- a/internal/net/front.go
+++ b/internal/net/front.go
@@ -193,6 +193,7 @@
 	}
 	n.deadlines.Stop(f.limit)
 	n.count.Add("operations taken")
+	n.trace("taken", "id", o.ID, "group", o.Group, "class", o.Class, "wait", o.Wait, "returned", o.Returned, "mid", o.MidFlow, "at", o.At)
 	q := n.request(o)
 	// The number of an operation is known only when it has been taken, yet its first route step or answer
 	// comes before that; it finds this front by its own number.
--- a/internal/net/node.go
+++ b/internal/net/node.go
@@ -44,6 +44,7 @@
 	gnet.BuiltinEventEngine
 	cfg       Terms
 	log       *slog.Logger
+	tracing   bool // the log takes in what trace tells
 	known     *poolconfig.List
 	out       io.Writer // of counters
 	engine    gnet.Engine
@@ -104,6 +105,7 @@
 		patience: mostSilent}
 	n.pool = pool{node: n, address: cfg.Discovery, client: poolconfig.NewClient(cfg.Discovery, poolconfig.None)}
 	n.delays = newDelays()
+	n.tracing = log.Enabled(context.Background(), slog.LevelDebug)
 	n.adopt(cfg)
 	return n
 }
@@ -454,6 +456,14 @@
 
 const mostBuffered = 256 << 10
 
+// trace logs what happens to single operations and desk hosts, for those who count over a whole fleet. Danger: at
+// size its lines cost more than the work that they tell of, so without the debug level nothing is even formed.
+func (n *Node) trace(event string, fields ...any) {
+	if n.tracing {
+		n.log.Debug(event, fields...)
+	}
+}
+
 // write sends bytes on a connection; one that fails or whose peer does not read is ended.
 func (n *Node) write(c gnet.Conn, data []byte) {
 	if c == nil {
--- a/internal/net/pool.go
+++ b/internal/net/pool.go
@@ -84,6 +84,7 @@
 		}
 	})
 	p.node.count.Add("discovery calls")
+	p.node.trace("discovery-call", "whole", p.client.Whole())
 	p.node.write(c.conn, p.client.Call(watchWait))
 }
 
@@ -156,6 +157,7 @@
 		return
 	}
 	p.node.count.Add("discovery answers")
+	p.node.trace("discovery-answer", "revision", list.Revision, "complete", list.Complete, "members", len(list.Members))
 	p.node.deadlines.Stop(p.call.limit)
 	p.call.waiting = false
 	kind := policy.Delta
--- a/internal/net/probe.go
+++ b/internal/net/probe.go
@@ -121,6 +121,7 @@
 // probe is a connection to a desk host on which it is asked for its load report, one question at a time.
 type probe struct {
 	node   *Node
+	server string
 	lag    *lag
 	conn   gnet.Conn
 	cancel context.CancelFunc
@@ -133,22 +134,23 @@
 // ask asks a desk host for its report, on the connection that is there or on a new one.
 func (n *Node) ask(server string, l *lag, now time.Duration) {
 	address, ok := n.addresses[server]
-	if !ok || l.probe != nil && l.probe.limit != nil {
+	if !ok || l.probe != nil && (l.probe.limit != nil || l.probe.conn == nil) { // under way
 		return
 	}
 	n.count.Add("probes sent")
+	n.trace("probe-sent", "host", server, "kept", l.probe != nil)
 	if l.probe != nil {
 		l.probe.send(now)
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
-	l.probe = &probe{node: n, lag: l, cancel: cancel}
+	l.probe = &probe{node: n, server: server, lag: l, cancel: cancel}
 	n.dial(ctx, l.probe, address.String())
 }
 
 func (p *probe) send(now time.Duration) {
 	p.limit = p.node.deadlines.Set(now+probeTimeout, func(now time.Duration) {
-		p.lag.missedAt = now
+		p.missed(now)
 		p.close()
 	})
 	p.node.write(p.conn, []byte("STATS\r\n"))
@@ -176,6 +178,7 @@
 		}
 		p.node.deadlines.Stop(p.limit)
 		p.limit, p.lag.heardAt = nil, now
+		answered := false
 		if kind, rest := line.Parse(text); kind == line.Pong {
 			if x0, ok := line.Field(rest, "x0"); ok {
 				util, ok := line.Field(rest, "cpu")
@@ -183,9 +186,16 @@
 					util, _ = line.Field(rest, "util")
 				}
 				p.lag.report.learn(now, x0, util)
+				answered = true
+				p.node.trace("report", "host", p.server, "x0", x0, "util", util, "backlog", p.lag.report.backlog)
 			}
 		}
 		_, _ = p.conn.Discard(len(text))
+		p.node.table.Reported(now, p.server, p.lag.report.expected(now), answered)
+		if p.node.delays.spread > 1 { // danger: kept by each of many, they hold as many places as clients do
+			p.close()
+			return
+		}
 	}
 }
 
@@ -203,11 +213,18 @@
 	p.node.end(p.conn, false)
 }
 
+// missed takes that a question had no answer.
+func (p *probe) missed(now time.Duration) {
+	p.lag.missedAt = now
+	p.node.trace("probe-missed", "host", p.server)
+	p.node.table.Reported(now, p.server, 0, false)
+}
+
 func (p *probe) detach(bool) { p.conn = nil }
 
 func (p *probe) closed(now time.Duration, _ bool) {
 	if !p.over {
-		p.lag.missedAt = now // by its own doing, or it never came up
+		p.missed(now) // by its own doing, or it never came up
 	}
 	p.close()
 }
--- a/internal/net/probe_test.go
+++ b/internal/net/probe_test.go
@@ -79,3 +79,16 @@
 	l.missedAt = 9500 * time.Millisecond
 	assert.Equal(t, time.Second, l.silent(n, 10*time.Second))
 }
+
+// All balancers together ask a desk host no more often than a few would, however many they are.
+func TestQuestionsDoNotGrowWithTheFleet(t *testing.T) {
+	for _, c := range []struct{ siblings, standing, listed int }{{1, 50, 10}, {3, 60, 10}, {4, 1, 10}} {
+		assert.Equal(t, 1.0, spread(c.siblings, c.standing, c.listed), "%v", c)
+	}
+	for _, n := range []int{20, 80, 800} {
+		const open, hosts = 400, 10
+		holders := min(float64(n), open/hosts)
+		asked := holders / spread(n, open/n, hosts) // in the span in which one alone asks once
+		assert.InDelta(t, usualFleet, asked, 0.2*usualFleet, "%d balancers", n)
+	}
+}
--- a/internal/operation/operation.go
+++ b/internal/operation/operation.go
@@ -27,6 +27,8 @@
 	Failed(owner slot.ID)
 	// Move sends the client of a standing connection away and ends both sides.
 	Move(owner slot.ID)
+	// Ask asks a server for a report; Reported tells what came of it.
+	Ask(server string)
 	Watch(on bool)
 	Log(text string)
 }
@@ -44,6 +46,7 @@
 	Gone(now time.Duration, id string)
 	Note(now time.Duration, id string, kind policy.NoteKind, level float64)
 	Delay(now time.Duration, server string, delay time.Duration)
+	Reported(now time.Duration, server string, delay time.Duration, answered bool)
 	Succeed(now time.Duration)
 	Wake(now time.Duration, name int64)
 }
@@ -287,6 +290,13 @@
 	t.settle()
 }
 
+// Reported tells what a server's report lets expect of a message's time, or that it gave none.
+func (t *Table) Reported(now time.Duration, server string, delay time.Duration, answered bool) {
+	t.now = now
+	t.module.Reported(now, server, delay, answered)
+	t.settle()
+}
+
 // Members tells what is new of the pool config.
 func (t *Table) Members(now time.Duration, kind policy.MembersKind, entries []policy.Server) {
 	t.now = now
@@ -407,6 +417,9 @@
 // Tell has nobody to tell: these balancers have no way to talk to each other.
 func (h host) Tell(uint32, time.Duration) {}
 
+// Ask has the carrier ask a server for a report.
+func (h host) Ask(server string) { h.carrier.Ask(server) }
+
 func (h host) Wake(at time.Duration, name int64) {
 	h.deadlines.Set(at, func(now time.Duration) {
 		h.now = now
--- a/internal/operation/operation_test.go
+++ b/internal/operation/operation_test.go
@@ -53,6 +53,7 @@
 func (b *bench) Failed(owner slot.ID)                { b.tell("failed %d", owner) }
 func (b *bench) Move(owner slot.ID)                  { b.tell("move %d", owner) }
 func (b *bench) Watch(bool)                          {}
+func (b *bench) Ask(string)                          {}
 func (b *bench) Log(string)                          {}
 
 func (b *bench) takeTold() []string {
--- a/internal/placement/weigher_test.go
+++ b/internal/placement/weigher_test.go
@@ -93,6 +93,7 @@
 func (s *sent) Fail(string)                            { s.refused++ }
 func (s *sent) Move(string)                            {}
 func (s *sent) Tell(uint32, time.Duration)             {}
+func (s *sent) Ask(string)                             {}
 func (s *sent) Wake(time.Duration, int64)              {}
 func (s *sent) Watch(bool)                             {}
 func (s *sent) Log(string)                             {}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -80,10 +80,13 @@
 }
 
 // Decode reads the settings object; unknown fields are skipped.
-func Decode(raw []byte) (Settings, error) { return decode(raw, func(*decoder) error { return nil }) }
+func Decode(raw []byte) (Settings, error) {
+	return decode(raw, false, func(*decoder) error { return nil })
+}
 
-// DecodeWhole reads the settings object of a real balancer, in which nothing that its answers depend on may lack.
-func DecodeWhole(raw []byte) (Settings, error) { return decode(raw, (*decoder).whole) }
+// DecodeWhole reads the settings object of a real balancer, in which nothing that its answers depend on may lack. Only
+// such a one asks desk hosts for reports; on the simulator's wire notes on connections tell of load.
+func DecodeWhole(raw []byte) (Settings, error) { return decode(raw, true, (*decoder).whole) }
 
 // whole tells what lacks. Danger: a number that is not told, or null, would be taken as 0, and 0 attempts as 1.
 func (d *decoder) whole() error {
@@ -101,7 +104,7 @@
 	return nil
 }
 
-func decode(raw []byte, check func(*decoder) error) (Settings, error) {
+func decode(raw []byte, asks bool, check func(*decoder) error) (Settings, error) {
 	d := &decoder{l: &jlexer.Lexer{Data: raw}}
 	p := &d.out.Policy
 	Object(d.l, d.top)
@@ -113,6 +116,7 @@
 		return Settings{}, err
 	}
 	p.MaxAttempts = max(p.MaxAttempts, 1)
+	p.Asks = asks && d.out.Probes
 	p.Tick = max(p.Tick, time.Millisecond)
 	p.Classes = make(map[string]policy.Class, len(d.grades))
 	for i, g := range d.grades {
--- a/internal/wire/encode.go
+++ b/internal/wire/encode.go
@@ -102,6 +102,9 @@
 	e.end()
 }
 
+// Ask says nothing: on this wire load is told by notes on connections, and no settings from it allow asking.
+func (e *Encoder) Ask(string) {}
+
 // Tell sends a message to all peers: the server's hash, and milliseconds in two bytes, as each is paid for.
 func (e *Encoder) Tell(server uint32, delay time.Duration) {
 	message := binary.BigEndian.AppendUint32(nil, server)
--- a/policy/api.go
+++ b/policy/api.go
@@ -41,6 +41,7 @@
 	MaxAttempts    int
 	Siblings       int           // balancers that share the servers, this one included; none counts as one
 	Peers          bool          // siblings may talk to each other
+	Asks           bool          // servers may be asked for a report; see Host.Ask
 	Tick           time.Duration // least spacing of events
 	MustAsk        bool          // the list of servers comes only to those who watch it
 	AskWithin      time.Duration // without a watch, ask at least this often
@@ -63,6 +64,12 @@
 	messageAim time.Duration // the shortest message aim of any class
 }
 
+// Many tells whether so many balancers share a list of servers that what one holds of a server says next to nothing
+// of what that holds: there are more of them than servers, and more than a few.
+func (s Settings) Many(listed int) bool { return s.Siblings > max(listed, few) }
+
+const few = 8
+
 // State is what the list says of a server.
 type State int
 
@@ -142,6 +149,8 @@
 	Move(request string)
 	// Tell tells all siblings how long messages take at a server, named by the hash that all rank it by.
 	Tell(server uint32, delay time.Duration)
+	// Ask asks a server for a report; Reported tells of it, or that none came.
+	Ask(server string)
 	Wake(at time.Duration, name int64)
 	Watch(on bool)
 	Log(text string)
--- /dev/null
+++ b/policy/ask_test.go
@@ -0,0 +1,137 @@
+package policy
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// asking makes siblings that may ask for reports, before the same servers.
+func asking(n int, servers []Server) (out []*sibling) {
+	for _, b := range siblings(n, 0, servers) {
+		b.set.Asks = true
+		b.host.actions = nil
+		out = append(out, b)
+	}
+	return out
+}
+
+// Each of 80 balancers takes one connection of a key. To each its two top servers are equally empty; all together
+// fill both. A few balancers, each of which soon holds enough to tell, take the top at a tie.
+func TestTiesOfManyBalancersAreSharedByBothTopServers(t *testing.T) {
+	for _, c := range []struct{ n, low, high int }{{80, 25, 55}, {3, 3, 3}, {9, 9, 9}} {
+		top := 0
+		for _, b := range siblings(c.n, 0, fleet(10)) {
+			b.host.actions = nil
+			b.Request(t0, req("r", 7))
+			if sent := b.host.take("send"); len(sent) == 1 && sent[0].server == ids(b.Balancer, 7)[0] {
+				top++
+			}
+		}
+		if top < c.low || top > c.high {
+			t.Errorf("%d of %d balancers took the top", top, c.n)
+		}
+	}
+}
+
+// One of many asks the two servers that it would compare, and waits for both.
+func TestOneOfManyAsksBeforeItPlaces(t *testing.T) {
+	b := asking(80, fleet(10))[0]
+	rank := ids(b.Balancer, 7)
+	b.Request(t0, req("r", 7))
+	if asks := b.host.take("ask"); len(asks) != 2 || asks[0].server != rank[0] || asks[1].server != rank[1] {
+		t.Fatalf("asked %v, want %v", asks, rank[:2])
+	}
+	b.Reported(t0+ms, rank[0], 80*ms, true) // near its capacity
+	if got := b.host.take("send"); len(got) != 0 {
+		t.Fatalf("sent before the second report: %v", got)
+	}
+	b.Wake(t0+2*ms, timerHeld)
+	if asks := b.host.take("ask"); len(asks) != 0 {
+		t.Fatalf("asked again while a question is out, or for more than the third: %v", asks)
+	}
+	b.Reported(t0+3*ms, rank[1], 0, true)
+	b.Reported(t0+4*ms, rank[2], 0, true)
+	if got := b.host.take("send"); len(got) != 1 || got[0].server != rank[1] && got[0].server != rank[2] {
+		t.Fatalf("sent %v, want one of %v", got, rank[1:3])
+	}
+	b.Request(t0+500*ms, req("s", 7)) // what was heard lately is not asked for again
+	if asks := b.host.take("ask"); len(asks) != 0 {
+		t.Errorf("asked again for %v", asks)
+	}
+}
+
+// Without an answer the request is sent well within its aim; a server that gave none is passed over.
+func TestNoAnswerHoldsNobodyUp(t *testing.T) {
+	b := asking(80, fleet(10))[0]
+	rank := ids(b.Balancer, 7)
+	b.Request(t0, req("r", 7))
+	b.Reported(t0+200*ms, rank[0], 0, false)
+	if b.passOver(t0+201*ms, &request{}, b.servers[rank[0]]) != doubted {
+		t.Error("not passed over though it gave no report")
+	}
+	b.host.actions = nil
+	limit := settings().Classes["safe"].Aim
+	for at := t0 + 201*ms; at < t0+limit; at += 5 * ms {
+		if b.Wake(at, timerHeld); len(b.host.take("send")) == 1 {
+			return
+		}
+	}
+	t.Error("not sent within its aim")
+}
+
+// Few balancers ask nothing, nor do many where servers are not to be asked.
+func TestFewBalancersAskNothing(t *testing.T) {
+	b, many := asking(3, fleet(10))[0], siblings(80, 0, fleet(10))[0]
+	many.host.actions = nil
+	for _, s := range []*sibling{b, many} {
+		s.Request(t0, req("r", 7))
+		if acts := s.host.actions; len(acts) != 1 || acts[0].name != "send" {
+			t.Errorf("did %v", acts)
+		}
+	}
+}
+
+// Of 80 balancers each sees two or three connections of three flights, which ten servers could bear. No server is
+// filled much beyond the rest, though no balancer ever holds more than three.
+func TestManyBalancersFillServersEvenlyByAsking(t *testing.T) {
+	const n, clients, room = 80, 200, 26 // of a server, before messages take long
+	for _, asks := range []bool{true, false} {
+		all := siblings(n, 0, fleet(10))
+		stand := map[string]int{}
+		for i := range clients {
+			b := all[i*7%n]
+			b.set.Asks = asks
+			now, q := t0+time.Duration(i)*50*ms, req(fmt.Sprint("r", i), uint64(i%3))
+			b.host.actions = nil
+			b.Request(now, q)
+			for range 20 { // rounds of questions
+				acts := b.host.actions
+				b.host.actions = nil
+				for _, a := range acts {
+					switch a.name {
+					case "ask":
+						delay := time.Duration(0)
+						if stand[a.server] >= room {
+							delay = 80 * ms
+						}
+						b.Reported(now, a.server, delay, true)
+					case "send":
+						stand[a.server]++
+						b.First(now, q.ID)
+					}
+				}
+			}
+		}
+		most, sum := 0, 0
+		for _, held := range stand {
+			most, sum = max(most, held), sum+held
+		}
+		if sum < clients*4/5 { // some are told to come back, by balancers that know of full servers only
+			t.Errorf("asks %v: %d of %d stand", asks, sum, clients)
+		}
+		if over := most > room+3; over == asks {
+			t.Errorf("asks %v: %d on the fullest server, which has room for %d", asks, most, room)
+		}
+	}
+}
--- a/policy/example_test.go
+++ b/policy/example_test.go
@@ -18,6 +18,7 @@
 func (printer) Move(request string)                    { fmt.Println("move", request) }
 func (printer) Wake(time.Duration, int64)              {}
 func (printer) Tell(uint32, time.Duration)             {}
+func (printer) Ask(string)                             {}
 func (printer) Watch(bool)                             {}
 func (printer) Log(string)                             {}
 
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -33,7 +33,7 @@
 	return bits.RotateLeft32(h, 21)
 }
 
-// multipliers are the load factor multipliers of 3.3 for weights sorted ascending; equal ones have the same.
+// multipliers are those of 3.3 for weights sorted ascending; equal ones have the same.
 func multipliers(weights []float64) []float64 {
 	sum, product, before, x := 0.0, 1.0, 0.0, 0.0
 	for _, w := range weights {
@@ -144,15 +144,6 @@
 		scope == ScopeCell && s.Cell == other.Cell
 }
 
-// choose takes the less occupied of the first two eligible servers, or tells when there may be one. Guesses
-// yield after half of the request's time, so that none is lost for one, and at once where most are doubted.
-func (b *Balancer) choose(now time.Duration, r *request, overload float64) (*server, time.Duration) {
-	if len(b.list) == 0 && b.asking && now < r.patient {
-		return nil, now + b.set.patience/4
-	}
-	return b.walk(now, r, overload > 0 || now >= r.patient)
-}
-
 // survey counts which servers that we know, by doubt or own connections, are well, by zone and kind; and
 // whether the list is wrong on what is gone: our connections prove it, over a third makes it likely.
 func (b *Balancer) survey(now time.Duration) {
@@ -185,10 +176,9 @@
 	}
 }
 
-// overloaded is the chance by which new requests are refused, once over a half fails of the servers that we
-// know and two taken to be well. Danger: what is sent then keeps the rest from being served. Who is refused
-// asks again some three times, so the share that is well lets in by its cube. Beyond three set-ups failed
-// in a row each halves it too, to a sixteenth: what they share, a store, fails.
+// overloaded is the chance by which new requests are refused, once over a half fails of the servers we know
+// and two taken to be well: what is sent then keeps the rest from being served. The refused ask again some
+// three times, hence the cube. Beyond three set-ups failed in a row, what they share fails: each halves it.
 func (b *Balancer) overloaded() (chance float64) {
 	if t := b.tallies[part{}]; t.fail > t.well+2 {
 		chance = 1 - math.Pow((t.well+2)/(t.fail+t.well+2), 3)
@@ -196,8 +186,8 @@
 	return max(chance, 1-math.Pow(2, -float64(min(max(b.failed-inRow, 0), 4))))
 }
 
-// alike tells whether all that we know of a server's zone, or of its kind, two at least, failed lately or
-// is slow, while most others, or all in our own zone, are well.
+// alike: all that we know of a server's zone or kind, two at least, failed lately or is slow, while most
+// others, or all in our own zone, are well.
 func (b *Balancer) alike(s *server) bool {
 	all, home := b.tallies[part{}], b.tallies[part{"zone", b.set.Zone}]
 	for _, p := range [...]part{{"zone", s.Zone}, {"kind", s.Kind}} {
@@ -210,11 +200,16 @@
 	return false
 }
 
-// walk is the one way down the ranking. Where nobody is left it tells when a reason may end: guesses yield
-// after half of the request's time, room at a cold server is drawn anew, the others last.
-func (b *Balancer) walk(now time.Duration, r *request, guessesYield bool) (top *server, ends time.Duration) {
+// walk is the one way down the ranking: to the less occupied of the first two eligible servers, where ties go
+// to the top. Where nobody is left it tells when a reason may end: guesses yield after half of the request's
+// time, or at once where most are doubted; room at a cold server is drawn anew; the others last.
+func (b *Balancer) walk(now time.Duration, r *request, overload float64) (top *server, ends time.Duration) {
+	guessesYield := overload > 0 || now >= r.patient
 	skip, best, most, ranked := b.popular(r), 0, 0, 0
-	ends = never
+	b.pair = [2]*server{}
+	if ends = never; len(b.list) == 0 && b.asking && now < r.patient {
+		ends = now + b.set.patience/4
+	}
 	for s := range b.rank(r.hash) {
 		why := b.passOver(now, r, s)
 		skip--
@@ -236,22 +231,58 @@
 			}
 		case skip >= 0: // popular
 		case top == nil:
-			top = s
-		case s.occupancy() < top.occupancy():
-			return s, 0
+			top, b.pair[0] = s, s
 		default:
+			b.pair[1] = s
+			less, tied := s.occupancy() < top.occupancy(), s.occupancy() == top.occupancy()
+			if less || tied && b.many() && b.rng.IntN(2) == 0 {
+				top = s
+			}
 			return top, 0
 		}
 	}
 	return top, ends
 }
 
+// many: where more balancers than servers share out connections, our counts tell next to nothing. Danger: for
+// each of them a key's two top servers tie at nothing, and all together fill the first; so ties are drawn.
+func (b *Balancer) many() bool { return b.set.Many(len(b.list)) }
+
+// unheard asks the servers that a request may go to for reports, and tells whether to wait for them, for less
+// than its aim. Danger: what fills a server comes by balancers of which we never hear; and if all ask
+// all the time, that is a good part of what servers do. So no request asks more than it may try.
+func (b *Balancer) unheard(now time.Duration, r *request) (waits bool) {
+	for _, s := range b.pair {
+		known := s == nil || !b.set.Asks || !b.many() || now >= r.curious || now-s.heardAt <= noteEvery
+		if asked := !known && now-s.askedAt <= b.set.patience; !known && !asked && r.asks < r.most {
+			r.asks++
+			s.askedAt = now
+			b.host.Ask(s.ID)
+		}
+		waits = waits || !known && now-s.askedAt <= b.set.patience
+	}
+	return waits
+}
+
+// Reported tells how long a message takes at a server by its own report, or that it answered none.
+func (b *Balancer) Reported(now time.Duration, server string, delay time.Duration, answered bool) {
+	s := b.server(server)
+	if answered {
+		s.heardAt = now
+	} else if now-s.askedAt <= b.set.patience {
+		b.strike(now, s)
+	}
+	if answered && !b.slow(now, s) {
+		s.delay, s.delayAt = delay, now
+	}
+	b.Wake(now, timerHeld)
+}
+
 // holds tells how likely a server holds a connection of a key that arrives mid-flow, and how many of the key
-// came here that way. All siblings rank alike and meet the same trouble, so most stand where most of those
-// that we placed ourselves do; without any, at the top, or as likely at the runner-up. But hardly at one that
-// is slow and shunned for it, or that started since: connections last for many seconds, and were placed by
-// the list of their time. Danger: of a key of many clients dozens arrive at once, and those sent elsewhere
-// than to their holder are set up anew and fill one server; so each that came counts off what is expected.
+// came here that way. Siblings rank alike and meet the same trouble: most stand where those we placed do;
+// without any, at the top or the runner-up, but hardly at one that is slow or started since. Danger: of a key
+// of many clients dozens arrive at once, and those sent elsewhere than to their holder fill one server; so
+// each that came counts off what is expected.
 func (b *Balancer) holds(now time.Duration, s *server, key uint32) (ours, came int) {
 	if s.Started > 0 && now-s.Started < lasting {
 		return -2, 0
@@ -273,9 +304,9 @@
 
 const lasting = 20 * time.Second // the least that a site's connections last on average
 
-// popular draws how many of a key's top ranks a request passes over. Danger: a key of many clients fills
-// its two servers, unseen by a balancer with few connections. By its share of our requests it is spread
-// until each has two servers' mean of it; each pays for the group's work again. A return counts twice.
+// popular draws how many of a key's top ranks a request passes over. Danger: a key of many clients fills its
+// two servers. By its share of our requests it is spread, each server paying for it again, until each has two
+// servers' mean of it. A return counts twice.
 func (b *Balancer) popular(r *request) int {
 	seen := popularShare*popularWeight + float64(max(b.keys[r.hash]-1, 0))
 	if r.returned {
@@ -307,8 +338,8 @@
 
 // ---- Doubted: set-ups that fail, messages that take long ----
 
-// strike passes over a server for a while, doubled by repeats; failures of one burst count once. By chance
-// siblings that met it together return apart. What comes back is cold, so the least doubt is Fall.
+// strike passes over a server for Fall at the least, doubled by repeats; those of one burst count once. By
+// chance siblings that met it together return apart.
 func (b *Balancer) strike(now time.Duration, s *server) {
 	if now < s.until {
 		return
@@ -396,9 +427,9 @@
 }
 
 // budgeted tells whether a cold server may be sent one more. Once in each span of Fall we draw our part of
-// its budget, in proportion to what we hold, so that the siblings' parts sum up. Danger: hundreds that keep
-// one for later spend them in one burst, so it lapses. Yet hardly any client meets what few may give: so for
-// a key that is new to us there is room, once a span, by half of its warmth as chance, a quarter for returns.
+// its budget, by what we hold, so that the siblings' parts sum up; it lapses, as hundreds that keep one spend
+// them in one burst. Hardly any client meets what few may give: so a key that is new to us has room, once a
+// span, by half of its warmth as chance, a quarter for returns.
 func (b *Balancer) budgeted(now time.Duration, r *request, s *server) bool {
 	w := b.warmth(now, s)
 	if w >= 1 {
@@ -474,7 +505,7 @@
 	}
 	r := &request{id: q.ID, class: b.set.Classes[q.Class], hash: carpHash(text), midFlow: q.MidFlow,
 		returned: q.Returned, deadline: now + q.TTL, patient: now + q.TTL/2, attempts: q.Made,
-		most: b.set.MaxAttempts}
+		curious: now + min(b.set.patience*3/4, q.TTL/4), most: b.set.MaxAttempts}
 	b.reqs[q.ID] = r
 	b.see(r.hash)
 	return r
@@ -494,11 +525,14 @@
 		b.giveUp(now, r, until)
 		return
 	}
-	s, ends := b.choose(now, r, overload)
+	s, ends := b.walk(now, r, overload)
 	if s == nil && ends >= last { // nothing can come of it in time
 		b.giveUp(now, r, ends)
 		return
 	}
+	if s != nil && overload == 0 && b.unheard(now, r) {
+		s, ends = nil, r.curious
+	}
 	if s == nil {
 		b.held = append(b.held, r)
 		b.wakeBy(now, min(ends, now+b.set.patience/4))
@@ -526,9 +560,8 @@
 }
 
 func (b *Balancer) maySendAgain(now time.Duration, r *request) bool {
-	fresh := r.ranAt == nil || r.class.Effect == Safe
-	return r.attempts < r.most &&
-		(fresh || r.class.Effect == Keyed && now-r.ranSince < r.class.Window)
+	keyed := r.class.Effect == Keyed && now-r.ranSince < r.class.Window
+	return r.attempts < r.most && (r.ranAt == nil || r.class.Effect == Safe || keyed)
 }
 
 // within keeps those of ascending times that no full BudgetSpan has passed since at a moment.
@@ -775,14 +808,3 @@
 	span := min(b.set.AskWithin/100*time.Duration(b.set.Siblings)<<min(b.askFails, 5), limit)
 	b.host.Wake(now+time.Duration(b.rng.Int64N(int64(span)+1)), timerAsk)
 }
-
-// derive fills in what follows from the rest; being extremes, they do not depend on the order of the map.
-func (s *Settings) derive() {
-	s.Siblings = max(s.Siblings, 1)
-	for _, c := range s.Classes {
-		s.patience = max(s.patience, c.Aim)
-		if c.MessageAim > 0 && (s.messageAim == 0 || c.MessageAim < s.messageAim) {
-			s.messageAim = c.MessageAim
-		}
-	}
-}
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -685,6 +685,7 @@
 func (w *world) Fail(r string)              { w.trace = append(w.trace, "fail "+r); w.answer(r, "failure") }
 func (w *world) Move(r string)              { w.trace = append(w.trace, "move "+r) }
 func (w *world) Tell(uint32, time.Duration) {}
+func (w *world) Ask(string)                 {}
 func (w *world) Wake(at time.Duration, n int64) {
 	if at <= w.now {
 		w.fail("a timer in the past")
--- a/policy/state.go
+++ b/policy/state.go
@@ -22,6 +22,7 @@
 	doubtList bool       // what it calls gone may well run
 	changed   bool       // what the ranking caches of the list is out of date
 	lists     int        // told so far
+	pair      [2]*server // that the last walk compared
 	wakeAt    time.Duration
 	failed    int  // set-ups that failed since the last one stood
 	askFails  int  // calls that failed in a row
@@ -58,6 +59,8 @@
 	// set-ups that fail
 	strikes int
 	until   time.Duration // passed over till then
+	// when it was asked for a report, and when it last gave one
+	askedAt, heardAt time.Duration
 	// messages that take long
 	delay, delayAt time.Duration // as last told
 	// what is left of the cold budget, in connections, and when it was drawn
@@ -75,6 +78,8 @@
 	returned bool
 	deadline time.Duration
 	patient  time.Duration // until then it is held rather than sent to a crowded server
+	curious  time.Duration // until then it waits for reports
+	asks     int           // made for it
 	attempts int
 	most     int // attempts, as allowed when it came
 	tried    []*server
@@ -100,6 +105,17 @@
 	b.set = set
 }
 
+// derive fills in what follows from the rest; being extremes, they do not depend on the order of the map.
+func (s *Settings) derive() {
+	s.Siblings = max(s.Siblings, 1)
+	for _, c := range s.Classes {
+		s.patience = max(s.patience, c.Aim)
+		if c.MessageAim > 0 && (s.messageAim == 0 || c.MessageAim < s.messageAim) {
+			s.messageAim = c.MessageAim
+		}
+	}
+}
+
 // server finds or makes what is known of a server.
 func (b *Balancer) server(id string) *server {
 	s := b.servers[id]
