Many balancers: no question is lost, and cold hosts are used

A desk host without figures yet answers a bare PONG; net.probe.traffic took that for no answer. Now who is refused for overload has its chance at cold hosts, one chance a request and host: our part of what it may be sent over the rate that we take, for those that return no less than two hosts' worth at once. The part follows the connections inside the tenants' shares (settings), as own counts are 0 or 1.

--- a/internal/net/delay.go
+++ b/internal/net/delay.go
@@ -13,9 +13,9 @@
 // a client's line to the desk host's next, or what the desk host's own reports let expect, if that is more:
 // a crowded desk host may echo at once and still have work piled up.
 type delays struct {
-	third  time.Duration
-	spread float64 // how many times as long as alone we wait between two questions to a desk host
-	lags   map[string]*lag
+	third time.Duration
+	many  bool // balancers share the list, each of which knows next to nothing: see policy.Settings.Many
+	lags  map[string]*lag
 }
 
 // lag is what is known of one desk host, while connections of ours stand there or it is known to be crowded.
@@ -36,7 +36,14 @@
 // look is how often desk hosts are looked at; noteEvery, how often the module is told at most.
 const look, noteEvery = 250 * time.Millisecond, time.Second
 
-func newDelays() delays { return delays{lags: map[string]*lag{}, spread: 1} }
+func newDelays() delays { return delays{lags: map[string]*lag{}} }
+
+// size takes how many desk hosts are listed, and tells it.
+func (s *delays) size(n *Node, now time.Duration) (listed int) {
+	listed, _ = n.table.Listed(now)
+	s.many = n.cfg.Settings.Policy.Many(listed)
+	return listed
+}
 
 // spread is by how much the intervals between questions to a desk host grow with the fleet. They were measured with up
 // to usualFleet balancers that all hold connections at it. Of many, those hold some that by our own part of the
@@ -106,15 +113,11 @@
 	for _, l := range s.lags {
 		standing += l.report.open
 	}
-	many := false
-	if set := n.cfg.Settings.Policy; set.Siblings > 1 {
-		listed, _ := n.table.Listed(now)
-		many = set.Many(listed)
-		s.spread = spread(set.Siblings, standing, listed)
-	}
+	listed := s.size(n, now)
+	spread := spread(n.cfg.Settings.Policy.Siblings, standing, listed)
 	for _, server := range slices.Sorted(maps.Keys(s.lags)) {
 		l := s.lags[server]
-		if !l.seen && !l.report.crowded(now) && !l.told {
+		if !l.seen && !l.report.crowded(now) && !l.told && !l.probe.asking() {
 			l.probe.close()
 			delete(s.lags, server)
 			continue
@@ -123,11 +126,11 @@
 		if l.fresh {
 			every = probeEvery
 		}
-		every = time.Duration(float64(every) * s.spread)
+		every = time.Duration(float64(every) * spread)
 		if l.waiting > 0 {
 			every = look
 		}
-		if n.cfg.Settings.Probes && now-l.probedAt >= every && (l.seen || !many) { // many ask when they place
+		if n.cfg.Settings.Probes && now-l.probedAt >= every && (l.seen || !s.many) { // many ask when they place
 			l.fresh, l.probedAt = false, now
 			n.ask(server, l, now)
 		}
--- a/internal/net/node.go
+++ b/internal/net/node.go
@@ -87,6 +87,8 @@
 	last     *link         // the one whose messages must be written before the process ends
 	silence  time.Duration // how long a client's line may stay unanswered
 	patience time.Duration // how long a front socket may go without a whole command
+
+	probeWait time.Duration // how long a desk host may take to answer a question
 }
 
 // socket is what stands behind a gnet connection.
@@ -102,7 +104,7 @@
 func NewNode(cfg Terms, known *poolconfig.List, out io.Writer, folder string, log *slog.Logger) *Node {
 	n := &Node{cfg: cfg, log: log.With("balancer", cfg.Name), known: known, out: out, folder: folder, leading: true, origin: time.Now(), count: counters.Set{},
 		addresses: map[string]netip.AddrPort{}, booted: make(chan struct{}), stopped: make(chan struct{}), silence: silence,
-		patience: mostSilent}
+		patience: mostSilent, probeWait: probeTimeout}
 	n.pool = pool{node: n, address: cfg.Discovery, client: poolconfig.NewClient(cfg.Discovery, poolconfig.None)}
 	n.delays = newDelays()
 	n.tracing = log.Enabled(context.Background(), slog.LevelDebug)
@@ -331,6 +333,7 @@
 		}
 	}
 	n.table.Members(now, kind, n.weigher.Take(now, kind, list.Servers()))
+	n.delays.size(n, now)
 }
 
 // reweigh hands on the weights as they are now, and sees to it that it happens again when a plan fades further.
--- a/internal/net/probe.go
+++ b/internal/net/probe.go
@@ -134,7 +134,7 @@
 // ask asks a desk host for its report, on the connection that is there or on a new one.
 func (n *Node) ask(server string, l *lag, now time.Duration) {
 	address, ok := n.addresses[server]
-	if !ok || l.probe != nil && (l.probe.limit != nil || l.probe.conn == nil) { // under way
+	if !ok || l.probe.asking() {
 		return
 	}
 	n.count.Add("probes sent")
@@ -143,13 +143,13 @@
 		l.probe.send(now)
 		return
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), n.probeWait)
 	l.probe = &probe{node: n, server: server, lag: l, cancel: cancel}
 	n.dial(ctx, l.probe, address.String())
 }
 
 func (p *probe) send(now time.Duration) {
-	p.limit = p.node.deadlines.Set(now+probeTimeout, func(now time.Duration) {
+	p.limit = p.node.deadlines.Set(now+p.node.probeWait, func(now time.Duration) {
 		p.missed(now)
 		p.close()
 	})
@@ -178,27 +178,31 @@
 		}
 		p.node.deadlines.Stop(p.limit)
 		p.limit, p.lag.heardAt = nil, now
-		answered := false
-		if kind, rest := line.Parse(text); kind == line.Pong {
+		kind, rest := line.Parse(text)
+		answered := kind == line.Pong // danger: one that has just started has no figures yet, and is no less well
+		if answered {
 			if x0, ok := line.Field(rest, "x0"); ok {
 				util, ok := line.Field(rest, "cpu")
 				if !ok {
 					util, _ = line.Field(rest, "util")
 				}
 				p.lag.report.learn(now, x0, util)
-				answered = true
 				p.node.trace("report", "host", p.server, "x0", x0, "util", util, "backlog", p.lag.report.backlog)
 			}
 		}
 		_, _ = p.conn.Discard(len(text))
 		p.node.table.Reported(now, p.server, p.lag.report.expected(now), answered)
-		if p.node.delays.spread > 1 { // danger: kept by each of many, they hold as many places as clients do
+		if p.node.delays.many { // danger: kept by each of many, they hold as many places as clients do
 			p.close()
 			return
 		}
 	}
 }
 
+// asking tells whether a question is under way, or its connection. Danger: to drop it then would leave a request that
+// waits for its answer to wait for nothing.
+func (p *probe) asking() bool { return p != nil && (p.conn == nil || p.limit != nil) }
+
 // close ends the probe; the next one makes a new connection. A nil one has ended.
 func (p *probe) close() {
 	if p == nil || p.over {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -180,6 +180,8 @@
 	switch field {
 	case "messageAim":
 		Array(d.l, func() { d.messageAims = append(d.messageAims, d.time()) })
+	case "tenantQuotaConnections":
+		Array(d.l, func() { d.out.Policy.Shared += max(d.l.Float64(), 0) })
 	case "groups":
 		d.out.Groups = d.l.Bool()
 	case "mode":
--- a/policy/api.go
+++ b/policy/api.go
@@ -42,6 +42,7 @@
 	Siblings       int           // balancers that share the servers, this one included; none counts as one
 	Peers          bool          // siblings may talk to each other
 	Asks           bool          // servers may be asked for a report; see Host.Ask
+	Shared         float64       // open connections inside the tenants' shares, over all siblings; 0 where not told
 	Tick           time.Duration // least spacing of events
 	MustAsk        bool          // the list of servers comes only to those who watch it
 	AskWithin      time.Duration // without a watch, ask at least this often
@@ -62,6 +63,7 @@
 
 	patience   time.Duration // the longest set-up aim of any class
 	messageAim time.Duration // the shortest message aim of any class
+	rushSpan   float64       // seconds in which what counts for the rush fades to a third
 }
 
 // Many tells whether so many balancers share a list of servers that what one holds of a server says next to nothing
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -1,5 +1,4 @@
 // The decisions of the balancer; the types that they speak in (settings, events, actions) stand in api.go.
-//
 // A new connection goes to the less occupied, by this balancer's own open connections, of the two servers
 // with the highest CARP scores for its key ("Cache Array Routing Protocol v1.0", 3.1 to 3.5). All else is a
 // reason to pass over a server in the walk down that ranking, or a duty to clients, servers and their list.
@@ -52,12 +51,13 @@
 
 // relist computes the multipliers, once for any number of changes.
 func (b *Balancer) relist() {
-	b.changed = false
+	b.changed, b.size = false, 0
 	ascending := slices.Clone(b.list)
 	slices.SortFunc(ascending, func(a, c *server) int { return cmp.Compare(a.Weight, c.Weight) })
 	weights := make([]float64, len(ascending))
 	for i, s := range ascending {
 		weights[i] = s.Weight
+		b.size += s.Weight
 	}
 	for i, x := range multipliers(weights) {
 		ascending[i].factor = x
@@ -107,6 +107,7 @@
 	draining        // danger: new work on a server that must empty would break a rule
 	tried           // danger: the same answer again; the draft's next-best member (3.5), for refusals too
 	foreign         // danger: a keyed request's effect twice, where its duplicates are not known
+	crowded         // danger: what is late already, or was refused for most that fail, makes it later
 	cold            // danger: a fresh server sent more than it can do falls over and stays down
 	unlisted        // danger: the list may be right in calling it gone; from here on guesses
 	doubted         // danger: one that never answers looks empty, and a few heavy connections fill one unseen
@@ -122,6 +123,9 @@
 		return tried
 	case r.ranAt != nil && r.class.Effect == Keyed && !s.shares(r.class.Scope, r.ranAt.Server):
 		return foreign
+	case r.excess && b.warmth(now, s) >= 1,
+		b.many() && !r.keeps() && b.slow(now, s) && s.delay >= b.set.messageAim:
+		return crowded
 	case !b.budgeted(now, r, s):
 		return cold
 	case r.keeps(): // guesses aside
@@ -338,8 +342,7 @@
 
 // ---- Doubted: set-ups that fail, messages that take long ----
 
-// strike passes over a server for Fall at the least, doubled by repeats; those of one burst count once. By
-// chance siblings that met it together return apart.
+// strike passes over a server, doubled by repeats; by chance siblings that met it together return apart.
 func (b *Balancer) strike(now time.Duration, s *server) {
 	if now < s.until {
 		return
@@ -369,9 +372,7 @@
 
 // Delay tells how long a message takes now at a server, one that holds none of our connections included.
 func (b *Balancer) Delay(now time.Duration, server string, delay time.Duration) {
-	if s := b.servers[server]; s != nil {
-		b.delayed(now, s, delay)
-	}
+	b.delayed(now, b.server(server), delay)
 }
 
 // delayed cuts what a crowded server holds of ours. A delay is work piled up: its growth is excess load, and
@@ -415,7 +416,7 @@
 // ---- Cold servers ----
 
 // headroom is how many times its usual load a server bears: a fleet must outlive the loss of half of itself.
-const headroom = 2
+const headroom, rushSpans = 2, 10 // times; spans of Fall over which requests are counted
 
 // warmth is the least share of its capacity that a server has now.
 func (b *Balancer) warmth(now time.Duration, s *server) float64 {
@@ -429,15 +430,28 @@
 // budgeted tells whether a cold server may be sent one more. Once in each span of Fall we draw our part of
 // its budget, by what we hold, so that the siblings' parts sum up; it lapses, as hundreds that keep one spend
 // them in one burst. Hardly any client meets what few may give: so a key that is new to us has room, once a
-// span, by half of its warmth as chance, a quarter for returns.
+// span, by half of its warmth as chance, a quarter for returns. Of many, each request has a chance, our part
+// over what we take in a span; those that return may be a rush of all that stood at two servers.
 func (b *Balancer) budgeted(now time.Duration, r *request, s *server) bool {
 	w := b.warmth(now, s)
 	if w >= 1 {
 		return true
 	}
+	share := b.set.OverloadFactor * w * float64(b.set.Fall) / float64(b.set.WarmAfter)
+	if b.many() { // what a server bears when all is well, our part of it; and what we take
+		bears := max(b.set.Shared/b.size/float64(b.set.Siblings), b.usual(now)) * s.Weight
+		taken := b.rush / (1 + rushSpans*(1-b.fade(now-b.rushFrom)))
+		if r.returned {
+			taken = max(taken, 2*bears)
+		}
+		if r.luck == 0 {
+			r.luck = b.rng.Float64()
+		}
+		_, chance := math.Modf(r.luck + float64(s.hash)/(1<<32)) // one draw, however often it is looked at
+		return chance < bears*share/taken
+	}
+	part := headroom * b.usual(now) * s.Weight * share
 	if now-s.drawn >= b.set.Fall {
-		share := w * float64(b.set.Fall) / float64(b.set.WarmAfter)
-		part := headroom * b.usual(now) * s.Weight * b.set.OverloadFactor * share
 		s.budget, s.drawn, s.luck = int(part+b.rng.Float64()), now, b.rng.Float64()
 	}
 	if w /= 2; r.returned {
@@ -488,9 +502,13 @@
 // Request takes a client's request and places it, or holds it.
 func (b *Balancer) Request(now time.Duration, q Request) {
 	b.taken = append(b.within(now+1, b.taken), now)
+	b.rush, b.rushAt, b.rushFrom = 1+b.rush*b.fade(now-b.rushAt), now, cmp.Or(b.rushFrom, now)
 	b.place(now, b.admit(now, q))
 }
 
+// fade is what a request that came so long ago still counts for in the rush.
+func (b *Balancer) fade(ago time.Duration) float64 { return math.Exp(-ago.Seconds() / b.set.rushSpan) }
+
 // Open counts a connection that stood when this instance started.
 func (b *Balancer) Open(now time.Duration, q Request, server string) {
 	r := b.admit(now, q)
@@ -516,8 +534,8 @@
 	last := r.deadline - 2*b.set.Tick
 	b.survey(now)
 	overload := b.overloaded()
-	excess := (r.attempts == 0 || b.failed > inRow) && !r.midFlow && b.rng.Float64() < overload
-	if now >= last || excess || !b.maySendAgain(now, r) {
+	r.excess = (r.attempts == 0 || b.failed > inRow) && !r.midFlow && b.rng.Float64() < overload
+	if now >= last || r.excess && !b.many() || !b.maySendAgain(now, r) {
 		b.giveUp(now, r, never)
 		return
 	}
@@ -526,7 +544,7 @@
 		return
 	}
 	s, ends := b.walk(now, r, overload)
-	if s == nil && ends >= last { // nothing can come of it in time
+	if s == nil && (r.excess || ends >= last) { // nothing can come of it in time
 		b.giveUp(now, r, ends)
 		return
 	}
@@ -754,23 +772,10 @@
 	e.Started = max(e.Started, s.Started)
 }
 
-// remembered is how long a server that is gone is remembered where that does not bind: many times what a
-// list took to be right again. Danger: ever new names fill the memory, so each rememberedMost halve it.
+// remembered is how long what is gone is remembered where that does not bind: many times what a list took to
+// be right again. Danger: ever new names fill the memory, so each rememberedMost halve it.
 const remembered, rememberedMost = 10 * time.Minute, 1024
 
-// Listed is how many servers the list names, and how many of them are avoided now.
-func (b *Balancer) Listed(now time.Duration) (listed, avoided int) {
-	for _, s := range b.list {
-		if s.State == Gone {
-			continue
-		}
-		if listed++; s.State == Draining || b.fails(now, s) || b.alike(s) {
-			avoided++
-		}
-	}
-	return listed, avoided
-}
-
 // forget drops servers that are gone: at once where that binds, else when their memory has ended.
 func (b *Balancer) forget(now time.Duration) {
 	gone := func(s *server) bool { return s.State == Gone }
--- a/policy/state.go
+++ b/policy/state.go
@@ -20,6 +20,7 @@
 	held      []*request // nobody was eligible for these yet
 	ranking   ranking    // reused by rank
 	doubtList bool       // what it calls gone may well run
+	size      float64    // of all that it names
 	changed   bool       // what the ranking caches of the list is out of date
 	lists     int        // told so far
 	pair      [2]*server // that the last walk compared
@@ -30,6 +31,9 @@
 	// how many of our connections a warm server holds, and as of when
 	usualOpen float64
 	usualAt   time.Duration
+	rush      float64        // requests taken lately, each counting less as time goes on
+	rushAt    time.Duration  // as of when
+	rushFrom  time.Duration  // when the first came
 	roomAt    time.Duration  // when a cold server was last sent one beyond its budget
 	keys      map[uint32]int // requests by the hash of their key
 	seen      int            // all of them
@@ -80,6 +84,8 @@
 	patient  time.Duration // until then it is held rather than sent to a crowded server
 	curious  time.Duration // until then it waits for reports
 	asks     int           // made for it
+	excess   bool          // refused, as most servers fail, but by cold ones that have room
+	luck     float64       // drawn once, so that it has one chance at a cold server however often it is looked at
 	attempts int
 	most     int // attempts, as allowed when it came
 	tried    []*server
@@ -108,6 +114,7 @@
 // derive fills in what follows from the rest; being extremes, they do not depend on the order of the map.
 func (s *Settings) derive() {
 	s.Siblings = max(s.Siblings, 1)
+	s.rushSpan = (rushSpans * s.Fall).Seconds()
 	for _, c := range s.Classes {
 		s.patience = max(s.patience, c.Aim)
 		if c.MessageAim > 0 && (s.messageAim == 0 || c.MessageAim < s.messageAim) {
@@ -116,6 +123,19 @@
 	}
 }
 
+// Listed is how many servers the list names, and how many of them are avoided now.
+func (b *Balancer) Listed(now time.Duration) (listed, avoided int) {
+	for _, s := range b.list {
+		if s.State == Gone {
+			continue
+		}
+		if listed++; s.State == Draining || b.fails(now, s) || b.alike(s) {
+			avoided++
+		}
+	}
+	return listed, avoided
+}
+
 // server finds or makes what is known of a server.
 func (b *Balancer) server(id string) *server {
 	s := b.servers[id]
