--- a/internal/cells/fleet.go
+++ b/internal/cells/fleet.go
@@ -640,9 +640,9 @@
 }
 
 // Reported tells of a desk host's report, or that it gave none; whoever may have asked for it hears of it.
-func (f *Fleet) Reported(now time.Duration, server string, delay time.Duration, answered bool) {
+func (f *Fleet) Reported(now time.Duration, server string, report policy.Report) {
 	for _, c := range f.inOrder() {
-		c.module.Reported(now, server, delay, answered)
+		c.module.Reported(now, server, report)
 	}
 }
 
--- a/internal/net/probe.go
+++ b/internal/net/probe.go
@@ -8,6 +8,7 @@
 
 	"tealtiller/internal/deadline"
 	"tealtiller/internal/line"
+	"tealtiller/policy"
 )
 
 // report is what a desk host's load reports tell.
@@ -191,7 +192,7 @@
 			}
 		}
 		_, _ = p.conn.Discard(len(text))
-		p.node.table.Reported(now, p.server, p.lag.report.expected(now), answered)
+		p.node.table.Reported(now, p.server, policy.Report{Answered: answered, Load: p.lag.report.grown(), Delay: p.lag.report.expected(now)})
 		if p.node.delays.many { // danger: kept by each of many, they hold as many places as clients do
 			p.close()
 			return
@@ -221,7 +222,7 @@
 func (p *probe) missed(now time.Duration) {
 	p.lag.missedAt = now
 	p.node.trace("probe-missed", "host", p.server)
-	p.node.table.Reported(now, p.server, 0, false)
+	p.node.table.Reported(now, p.server, policy.Report{})
 }
 
 func (p *probe) detach(bool) { p.conn = nil }
--- a/internal/operation/operation.go
+++ b/internal/operation/operation.go
@@ -46,7 +46,7 @@
 	Gone(now time.Duration, id string)
 	Note(now time.Duration, id string, kind policy.NoteKind, level float64)
 	Delay(now time.Duration, server string, delay time.Duration)
-	Reported(now time.Duration, server string, delay time.Duration, answered bool)
+	Reported(now time.Duration, server string, report policy.Report)
 	Succeed(now time.Duration)
 	Wake(now time.Duration, name int64)
 }
@@ -291,9 +291,9 @@
 }
 
 // Reported tells what a server's report lets expect of a message's time, or that it gave none.
-func (t *Table) Reported(now time.Duration, server string, delay time.Duration, answered bool) {
+func (t *Table) Reported(now time.Duration, server string, report policy.Report) {
 	t.now = now
-	t.module.Reported(now, server, delay, answered)
+	t.module.Reported(now, server, report)
 	t.settle()
 }
 
--- a/policy/api.go
+++ b/policy/api.go
@@ -142,6 +142,13 @@
 	NoteDelay NoteKind = 2 // milliseconds that a message takes at its server now
 )
 
+// Report is a server's answer to the question how it does.
+type Report struct {
+	Answered bool
+	Load     float64       // over what it can do
+	Delay    time.Duration // that it lets expect of a message; 0 where it tells no figures
+}
+
 // Host carries out a Balancer's actions. Requests and servers are named by their ids, attempts by their
 // number.
 type Host interface {
--- a/policy/ask_test.go
+++ b/policy/ask_test.go
@@ -42,7 +42,7 @@
 	if asks := b.host.take("ask"); len(asks) != 2 || asks[0].server != rank[0] || asks[1].server != rank[1] {
 		t.Fatalf("asked %v, want %v", asks, rank[:2])
 	}
-	b.Reported(t0+ms, rank[0], 80*ms, true) // near its capacity
+	b.Reported(t0+ms, rank[0], Report{Answered: true, Delay: 80 * ms}) // near its capacity
 	if got := b.host.take("send"); len(got) != 0 {
 		t.Fatalf("sent before the second report: %v", got)
 	}
@@ -50,8 +50,8 @@
 	if asks := b.host.take("ask"); len(asks) != 0 {
 		t.Fatalf("asked again while a question is out, or for more than the third: %v", asks)
 	}
-	b.Reported(t0+3*ms, rank[1], 0, true)
-	b.Reported(t0+4*ms, rank[2], 0, true)
+	b.Reported(t0+3*ms, rank[1], Report{Answered: true, Delay: 0})
+	b.Reported(t0+4*ms, rank[2], Report{Answered: true, Delay: 0})
 	if got := b.host.take("send"); len(got) != 1 || got[0].server != rank[1] && got[0].server != rank[2] {
 		t.Fatalf("sent %v, want one of %v", got, rank[1:3])
 	}
@@ -66,7 +66,7 @@
 	b := asking(80, fleet(10))[0]
 	rank := ids(b.Balancer, 7)
 	b.Request(t0, req("r", 7))
-	b.Reported(t0+200*ms, rank[0], 0, false)
+	b.Reported(t0+200*ms, rank[0], Report{Answered: false, Delay: 0})
 	if b.passOver(t0+201*ms, &request{}, b.servers[rank[0]]) != doubted {
 		t.Error("not passed over though it gave no report")
 	}
@@ -115,7 +115,7 @@
 						if stand[a.server] >= room {
 							delay = 80 * ms
 						}
-						b.Reported(now, a.server, delay, true)
+						b.Reported(now, a.server, Report{Answered: true, Delay: delay})
 					case "send":
 						stand[a.server]++
 						b.First(now, q.ID)
@@ -135,3 +135,77 @@
 		}
 	}
 }
+
+// 42 clients of a server that stopped come back within a second, to 80 balancers, before any report tells of them. The
+// two servers that they rank first had room for eight each. They are sent about that, and the rest elsewhere; a client
+// that comes for the first time is no part of such a rush.
+func TestWhoComesBackIsLetInByRoom(t *testing.T) {
+	for _, c := range []struct {
+		load      float64
+		returned  bool
+		low, high int
+	}{{0.6, true, 2, 18}, {0.3, true, 14, 32}, {0.6, false, 42, 42}} {
+		sent := 0
+		for i, b := range asking(80, fleet(10))[:42] {
+			rank := ids(b.Balancer, 7)
+			for j, id := range rank {
+				load := 0.0
+				if j < 2 {
+					load = c.load
+				}
+				b.Reported(t0, id, Report{Answered: true, Load: load})
+			}
+			q := req(fmt.Sprint("r", i), 7)
+			q.Returned, b.host.actions = c.returned, nil
+			b.Request(t0+time.Duration(i)*20*ms, q)
+			if got := b.host.take("send"); len(got) == 1 && (got[0].server == rank[0] || got[0].server == rank[1]) {
+				sent++
+			}
+		}
+		if sent < c.low || sent > c.high {
+			t.Errorf("%+v: %d sent to the two", c, sent)
+		}
+	}
+}
+
+// What is late already is sent nothing more by one of many, however long a request has waited; a few let it yield.
+func TestLateServersDoNotYieldAtSize(t *testing.T) {
+	for _, n := range []int{3, 80} {
+		b := asking(n, fleet(2))[0]
+		for _, s := range b.list {
+			s.delay, s.delayAt, s.heardAt = 80*ms, t0+900*ms, t0+900*ms
+		}
+		b.Request(t0, req("r", 7))
+		b.Wake(t0+1001*ms, timerHeld)
+		if sent := len(b.host.take("send")); (sent == 1) != (n == 3) {
+			t.Errorf("%d balancers: %d sent", n, sent)
+		}
+	}
+}
+
+// All known servers are late, and requests refused for it; a cold server gets its part all the same.
+func TestWhoIsRefusedHasAChanceAtColdServers(t *testing.T) {
+	servers := fleet(8)
+	servers[7].Started = t0 - 5*time.Second
+	cold, other := 0, 0
+	for i, b := range asking(400, servers) {
+		b.set.Shared = 400
+		for _, s := range b.list {
+			if s.Started == 0 {
+				s.delay, s.delayAt, s.heardAt = 80*ms, t0, t0
+			}
+			s.heardAt = t0
+		}
+		b.Request(t0+ms, req("r", uint64(i)))
+		for _, a := range b.host.take("send") {
+			if a.server == servers[7].ID {
+				cold++
+			} else {
+				other++
+			}
+		}
+	}
+	if cold == 0 || cold > 60 || other > 0 {
+		t.Errorf("%d sent to the cold server, %d to late ones", cold, other)
+	}
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -82,7 +82,6 @@
 	}
 }
 
-// ranking is a heap with the highest score on top.
 type ranking []*server
 
 func (r ranking) Len() int { return len(r) }
@@ -123,8 +122,7 @@
 		return tried
 	case r.ranAt != nil && r.class.Effect == Keyed && !s.shares(r.class.Scope, r.ranAt.Server):
 		return foreign
-	case r.excess && b.warmth(now, s) >= 1,
-		b.many() && !r.keeps() && b.slow(now, s) && s.delay >= b.set.messageAim:
+	case r.excess && b.warmth(now, s) >= 1, b.many() && !r.keeps() && b.full(now, r, s):
 		return crowded
 	case !b.budgeted(now, r, s):
 		return cold
@@ -140,6 +138,22 @@
 	return eligible
 }
 
+// full: by its report a server must be sent no more. Who comes back may be one of all that stood at another,
+// of which no report tells yet: each has a chance, by the room that is left for all of them.
+func (b *Balancer) full(now time.Duration, r *request, s *server) bool {
+	return b.slow(now, s) && s.delay >= b.set.messageAim/2 ||
+		r.returned && now-s.heardAt < 3*noteEvery && s.load+r.chance(b, s) > mostLoad
+}
+
+// chance is drawn once for a request and a server.
+func (r *request) chance(b *Balancer, s *server) float64 {
+	if r.luck == 0 {
+		r.luck = b.rng.Float64()
+	}
+	_, u := math.Modf(r.luck + float64(s.hash)/(1<<32))
+	return u
+}
+
 func (r *request) keeps() bool { return r.midFlow && r.attempts == 0 } // no attempt has reset it yet
 
 // shares reports whether two servers discard duplicates of each other's requests in a scope.
@@ -166,8 +180,6 @@
 			n.bad = 1
 		case s.standing > 0:
 			n.well = 1
-		default:
-			continue
 		}
 		for _, p := range [...]part{{}, {"zone", s.Zone}, {"kind", s.Kind}} {
 			t := b.tallies[p]
@@ -259,8 +271,7 @@
 	for _, s := range b.pair {
 		known := s == nil || !b.set.Asks || !b.many() || now >= r.curious || now-s.heardAt <= noteEvery
 		if asked := !known && now-s.askedAt <= b.set.patience; !known && !asked && r.asks < r.most {
-			r.asks++
-			s.askedAt = now
+			r.asks, s.askedAt = r.asks+1, now
 			b.host.Ask(s.ID)
 		}
 		waits = waits || !known && now-s.askedAt <= b.set.patience
@@ -268,16 +279,16 @@
 	return waits
 }
 
-// Reported tells how long a message takes at a server by its own report, or that it answered none.
-func (b *Balancer) Reported(now time.Duration, server string, delay time.Duration, answered bool) {
+// Reported takes what a server answered when asked.
+func (b *Balancer) Reported(now time.Duration, server string, report Report) {
 	s := b.server(server)
-	if answered {
-		s.heardAt = now
+	if report.Answered {
+		s.heardAt, s.load = now, report.Load
 	} else if now-s.askedAt <= b.set.patience {
 		b.strike(now, s)
 	}
-	if answered && !b.slow(now, s) {
-		s.delay, s.delayAt = delay, now
+	if report.Answered && !b.slow(now, s) {
+		s.delay, s.delayAt = report.Delay, now
 	}
 	b.Wake(now, timerHeld)
 }
@@ -388,8 +399,7 @@
 		return
 	}
 	b.strike(now, s)
-	// Danger: the clients that we move reach siblings that know nothing of it. Of those that hold some of the
-	// server's connections, about one tells all.
+	// Danger: who is moved reaches siblings that know nothing of it. Of the holders about one tells all.
 	if holders := float64(b.set.Siblings) * b.usual(now); b.set.Peers && b.rng.Float64()*holders < 1 {
 		b.host.Tell(s.hash, delay)
 	}
@@ -416,7 +426,7 @@
 // ---- Cold servers ----
 
 // headroom is how many times its usual load a server bears: a fleet must outlive the loss of half of itself.
-const headroom, rushSpans = 2, 10 // times; spans of Fall over which requests are counted
+const headroom, rushSpans, mostLoad = 2, 10, 0.8 // times; spans of Fall that requests count; near the full
 
 // warmth is the least share of its capacity that a server has now.
 func (b *Balancer) warmth(now time.Duration, s *server) float64 {
@@ -444,11 +454,7 @@
 		if r.returned {
 			taken = max(taken, 2*bears)
 		}
-		if r.luck == 0 {
-			r.luck = b.rng.Float64()
-		}
-		_, chance := math.Modf(r.luck + float64(s.hash)/(1<<32)) // one draw, however often it is looked at
-		return chance < bears*share/taken
+		return r.chance(b, s) < bears*share/taken
 	}
 	part := headroom * b.usual(now) * s.Weight * share
 	if now-s.drawn >= b.set.Fall {
@@ -460,8 +466,7 @@
 	return s.budget > 0 || b.keys[r.hash] <= 1 && s.luck < w && r.attempts == 0 && now-b.roomAt >= b.set.Fall
 }
 
-// Succeed takes over from another process of this balancer. Danger: that one may just have spent what there
-// was for cold servers.
+// Succeed takes over from another process of this balancer, which may just have spent the cold budgets.
 func (b *Balancer) Succeed(now time.Duration) {
 	b.roomAt = now
 	for _, s := range b.list {
@@ -627,8 +632,7 @@
 
 func (b *Balancer) detach(r *request) {
 	s := r.at
-	i := slices.Index(s.conns, r)
-	s.conns = slices.Delete(s.conns, i, i+1)
+	s.conns = slices.DeleteFunc(s.conns, func(o *request) bool { return o == r })
 	if r.at = nil; r.began {
 		s.standing--
 	}
@@ -683,7 +687,6 @@
 	}
 }
 
-// wakeBy sees to it that Wake comes by a time.
 func (b *Balancer) wakeBy(now, at time.Duration) {
 	at = max(at, now+b.set.Tick)
 	if b.wakeAt <= now || at < b.wakeAt {
@@ -772,8 +775,7 @@
 	e.Started = max(e.Started, s.Started)
 }
 
-// remembered is how long what is gone is remembered where that does not bind: many times what a list took to
-// be right again. Danger: ever new names fill the memory, so each rememberedMost halve it.
+// What is gone is remembered so long where that does not bind; each rememberedMost names, ever new, halve it.
 const remembered, rememberedMost = 10 * time.Minute, 1024
 
 // forget drops servers that are gone: at once where that binds, else when their memory has ended.
--- a/policy/state.go
+++ b/policy/state.go
@@ -65,6 +65,7 @@
 	until   time.Duration // passed over till then
 	// when it was asked for a report, and when it last gave one
 	askedAt, heardAt time.Duration
+	load             float64 // by that report, over what it can do
 	// messages that take long
 	delay, delayAt time.Duration // as last told
 	// what is left of the cold budget, in connections, and when it was drawn
