bin/lab count: a fleet's logs by second and desk host; a start that waits is told once

Need: what one balancer does and all 80 do together shows in no single log. bin/lab count FOLDER adds up the logs at the debug level: events, questions, steps, cold steps, standing, dropped and load by desk host and second, and from when to when the balancers came to know a revision or to doubt a host. Seen by it: 80 lines a second of start-failed where no socket pair is to be had; the first client starts the node all the same, so it is told once (start-waits), and no more once the loop runs.

--- a/cmd/lab/main.go
+++ b/cmd/lab/main.go
@@ -27,6 +27,7 @@
 	Virtual virtual `cmd:"" help:"Play an experiment in virtual time."`
 	Compare compare `cmd:"" help:"Put two results of run side by side."`
 	Prove   prove   `cmd:"" help:"Run a proof; one JSON line of figures comes last, exit code 1 if a promise is broken."`
+	Count   count   `cmd:"" help:"Count the logs of a whole fleet by second and desk host; they must be written at the debug level."`
 	Up      up      `cmd:"" help:"Start a small fleet with light load, and show live figures until Ctrl-C."`
 }
 
@@ -37,6 +38,23 @@
 	k.FatalIfErrorf(k.Run())
 }
 
+type count struct {
+	Folder string        `arg:"" type:"existingdir" help:"Of the logs: one file NAME.log, or one folder with a file named log, a balancer."`
+	Warm   time.Duration `default:"22s" help:"For how long a desk host is cold after its start."`
+	JSON   bool          `name:"json" help:"JSON in place of tables."`
+}
+
+func (c count) Run(out io.Writer) error {
+	counted, err := lab.CountLogs(c.Folder, c.Warm)
+	if err != nil {
+		return err
+	}
+	if c.JSON {
+		return json.NewEncoder(out).Encode(counted)
+	}
+	return counted.Print(out)
+}
+
 type binary struct {
 	Binary string `default:"bin/tealtiller" type:"path" help:"The balancer."`
 	Seed   uint64 `default:"1" help:"Of all chance."`
--- a/internal/net/node.go
+++ b/internal/net/node.go
@@ -77,6 +77,7 @@
 	callers     []*caller // in order of their coming
 	admin       string    // the second address as the listener names it; empty without one
 
+	waits    bool // for somebody to start it; of OnTick alone
 	events   []func(now time.Duration)
 	busy     bool
 	timer    *time.Timer
@@ -229,11 +230,20 @@
 // OnTick runs beside the loop, first when the loop has started. A loop is known to its connections alone, so
 // one is opened for no other purpose than to start the node there.
 func (n *Node) OnTick() (time.Duration, gnet.Action) {
-	if err := n.ring(); err != nil {
-		n.log.Error("start-failed", "reason", err)
-		return time.Second, gnet.None
+	select {
+	case <-n.booted: // by a client who came first
+		return 24 * time.Hour, gnet.None
+	default:
+	}
+	err := n.ring()
+	if err == nil {
+		return 24 * time.Hour, gnet.None
+	}
+	if !n.waits { // once: it is tried again each second, and the first client starts the node too
+		n.log.Warn("start-waits", "reason", err)
 	}
-	return 24 * time.Hour, gnet.None
+	n.waits = true
+	return time.Second, gnet.None
 }
 
 type bell struct{ socket }
@@ -331,6 +341,7 @@
 		if m.State != policy.Gone {
 			n.addresses[m.ID] = m.Address
 		}
+		n.trace("listed", "host", m.ID, "state", int(m.State), "started_ms", m.Started.Milliseconds())
 	}
 	n.table.Members(now, kind, n.weigher.Take(now, kind, list.Servers()))
 	n.delays.size(n, now)
