--- a/policy/ask_test.go
+++ b/policy/ask_test.go
@@ -209,3 +209,26 @@
 		t.Errorf("%d sent to the cold server, %d to late ones", cold, other)
 	}
 }
+
+// All that is left is a cold server, and it has no room for a request of one of many: its one chance is drawn, so it is
+// told to come back at once, and not held until its time is up.
+func TestWhoHasNoChanceIsAnsweredAtOnce(t *testing.T) {
+	servers := fleet(1)
+	servers[0].Started = t0
+	sent, refused := 0, 0
+	for i, b := range asking(80, servers) {
+		b.set.Asks = false
+		b.Request(t0+ms, req(fmt.Sprint("r", i), uint64(i)))
+		for _, a := range b.host.actions {
+			switch a.name {
+			case "send":
+				sent++
+			case "refuse":
+				refused++
+			}
+		}
+	}
+	if sent+refused != 80 || refused < 60 {
+		t.Errorf("%d sent, %d refused at once, of 80", sent, refused)
+	}
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -230,11 +230,11 @@
 		why := b.passOver(now, r, s)
 		skip--
 		switch {
-		case why == cold:
+		case why == cold && !b.many(): // whose one chance is drawn once
 			ends = min(ends, s.drawn+b.set.Fall)
 		case why > cold && !guessesYield:
 			ends = min(ends, r.patient)
-		case eligible < why && why < cold:
+		case eligible < why && why <= cold:
 		case r.keeps(): // any but its holder resets it
 			h, came := b.holds(now, s, r.hash)
 			ranked++
