After a failed call for the list the next one follows within AskWithin

Log: the instance's call of 5 to 8 s failed (overbooked, given up after 2 s), its next was planned up to 16 s later: policy.watched doubled its limit of 0.8 AskWithin after a failure.

--- a/policy/siblings_test.go
+++ b/policy/siblings_test.go
@@ -284,3 +284,21 @@
 		t.Errorf("only %d of 100 sent after the store is back", sends)
 	}
 }
+
+// What discovery has to tell counts as told once nobody has asked for AskWithin. A call takes up to 2 s to fail, so the
+// next one follows within what is left, however many siblings there are and however often it has failed.
+func TestTheNextCallFollowsInTimeThoughCallsFail(t *testing.T) {
+	for _, n := range []int{3, 80, 700} {
+		for _, b := range siblings(n, 0, fleet(10)) {
+			for fails := range 8 {
+				b.host.actions = nil
+				b.Members(t0, Failed, nil)
+				for _, w := range b.host.take("wake") {
+					if w.timer == timerAsk && w.d-t0+2*time.Second > b.set.AskWithin {
+						t.Fatalf("%d siblings, failure %d: asks %v after it", n, fails+1, w.d-t0)
+					}
+				}
+			}
+		}
+	}
+}
