--- a/policy/policy.go
+++ b/policy/policy.go
@@ -810,7 +810,7 @@
 	if kind == Failed {
 		b.askFails++
 		b.logf("list of servers: call %d in a row failed", b.askFails)
-		limit = b.set.AskWithin * 7 / 10 // danger: what a call missed that was made seconds ago counts as told
+		limit = b.set.AskWithin * 7 / 10 // danger: what a call of seconds ago missed counts as told
 	}
 	span := min(b.set.AskWithin/100*time.Duration(b.set.Siblings)<<min(b.askFails, 5), limit)
 	b.host.Wake(now+time.Duration(b.rng.Int64N(int64(span)+1)), timerAsk)
