What changes with the number of balancers stands in a pure module of its own

Many, the spread of questions and the rate of requests move from policy/api.go, internal/net/delay.go and the balancer's state to internal/scale, pure. What Listed counts as avoided is policy.shunned, in the counted file. The names of results stood twice: operation.Results is the one, and the debug log tells the name in place of a number. cell.Ask stood among the Fleet's methods.

--- a/internal/cells/fleet.go
+++ b/internal/cells/fleet.go
@@ -694,9 +694,6 @@
 // slots is how many timer names a module has room for; the Fleet's own are under all of them.
 const slots, timerMoves, timerDeal = 16, -1, -2
 
-// Ask asks a desk host for a report.
-func (c *cell) Ask(server string) { c.fleet.host.Ask(server) }
-
 // Wake does what has fallen due.
 func (f *Fleet) Wake(now time.Duration, name int64) {
 	if name == timerMoves {
@@ -844,6 +841,9 @@
 // Tell tells all siblings of a slow desk host.
 func (c *cell) Tell(server uint32, delay time.Duration) { c.fleet.host.Tell(server, delay) }
 
+// Ask asks a desk host for a report.
+func (c *cell) Ask(server string) { c.fleet.host.Ask(server) }
+
 // Wake asks to be woken, under a name of this cell's own.
 func (c *cell) Wake(at time.Duration, name int64) { c.fleet.host.Wake(at, c.number*slots+name) }
 
--- a/internal/lab/count.go
+++ b/internal/lab/count.go
@@ -14,8 +14,6 @@
 	"strings"
 	"text/tabwriter"
 	"time"
-
-	"tealtiller/policy"
 )
 
 // Count is what a fleet's logs tell when all balancers are taken together, by second from the first line. What each does
@@ -172,12 +170,11 @@
 		case "step-up":
 			standing[host]++
 		case "step-ended":
-			n, _ := strconv.Atoi(l.fields["result"])
-			event += " " + results[policy.Result(n)]
+			event += " " + l.fields["result"]
 			if l.fields["stood"] == "true" {
 				event += ", stood"
 				standing[host]--
-				if policy.Result(n) == policy.Reset {
+				if l.fields["result"] == "reset" {
 					c.host(host, "dropped")[int(at)]++
 				}
 			}
@@ -216,9 +213,6 @@
 	c.Balancers = len(balancers)
 }
 
-var results = map[policy.Result]string{policy.OK: "ok", policy.Error: "error", policy.TurnedAway: "busy",
-	policy.Timeout: "timeout", policy.ConnectFailed: "connect failed", policy.Reset: "reset", policy.Cancelled: "cancelled"}
-
 // host finds or makes a row of a desk host.
 func (c *Count) host(host, figure string) []int {
 	rows := c.Hosts[host]
--- a/internal/lab/count_test.go
+++ b/internal/lab/count_test.go
@@ -23,7 +23,7 @@
 0.003 time=2026-12-01T17:00:00.310Z level=DEBUG msg=report balancer=n0 host=b x0=0.25 util=0.3 backlog=0s
 0.003 time=2026-12-01T17:00:00.400Z level=DEBUG msg=step-sent balancer=n0 host=b id=1
 0.004 time=2026-12-01T17:00:00.500Z level=DEBUG msg=step-up balancer=n0 host=b id=1 returned=true mid=false
-0.004 time=2026-12-01T17:00:02.500Z level=DEBUG msg=step-ended balancer=n0 host=b id=1 stood=true result=5 after=2s
+0.004 time=2026-12-01T17:00:02.500Z level=DEBUG msg=step-ended balancer=n0 host=b id=1 stood=true result=reset after=2s
 panic: something
 `), 0o600))
 	require.NoError(t, os.Mkdir(filepath.Join(folder, "n1"), 0o700))
@@ -41,12 +41,8 @@
 	assert.Equal(t, []int{1, 1, 0}, c.Events["discovery-answer"])
 	assert.Equal(t, []int{0, 1, 0}, c.Events["refused returned"])
 	assert.Equal(t, []int{0, 0, 1}, c.Events["step-ended reset, stood"])
-	b := c.Hosts["b"]
-	assert.Equal(t, []int{1, 0, 0}, b["questions"])
-	assert.Equal(t, []int{1, 0, 0}, b["cold steps"])
-	assert.Equal(t, []int{1, 1, 0}, b["standing"])
-	assert.Equal(t, []int{0, 0, 1}, b["dropped"])
-	assert.Equal(t, []int{25, 150, -1}, b["load"])
+	assert.Equal(t, map[string][]int{"questions": {1, 0, 0}, "steps": {1, 0, 0}, "cold steps": {1, 0, 0},
+		"standing": {1, 1, 0}, "dropped": {0, 0, 1}, "load": {25, 150, -1}}, c.Hosts["b"])
 	assert.Equal(t, 2, c.Knew[7].Balancers)
 	assert.InDelta(t, 1.5, c.Knew[7].Last-c.Knew[7].First, 0.001)
 	assert.Equal(t, 1, c.PassedOver["b"].Balancers)
--- a/internal/net/delay.go
+++ b/internal/net/delay.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"tealtiller/internal/scale"
 	"tealtiller/policy"
 )
 
@@ -14,7 +15,7 @@
 // a crowded desk host may echo at once and still have work piled up.
 type delays struct {
 	third time.Duration
-	many  bool // balancers share the list, each of which knows next to nothing: see policy.Settings.Many
+	many  bool // balancers share the list, each of which knows next to nothing: see scale.Many
 	lags  map[string]*lag
 }
 
@@ -41,20 +42,10 @@
 // size takes how many desk hosts are listed, and tells it.
 func (s *delays) size(n *Node, now time.Duration) (listed int) {
 	listed, _ = n.table.Listed(now)
-	s.many = n.cfg.Settings.Policy.Many(listed)
+	s.many = scale.Many(n.cfg.Settings.Policy.Siblings, listed)
 	return listed
 }
 
-// spread is by how much the intervals between questions to a desk host grow with the fleet. They were measured with up
-// to usualFleet balancers that all hold connections at it. Of many, those hold some that by our own part of the
-// connections it should have, on the mean, and all together ask it no more often.
-func spread(siblings, standing, listed int) float64 {
-	holders := float64(siblings) * min(float64(standing)/float64(max(listed, 1)), 1)
-	return max(holders/usualFleet, 1)
-}
-
-const usualFleet = 4
-
 // aims takes the settings' message aims; without any, desk hosts are not looked at.
 func (s *delays) aims(set policy.Settings) {
 	s.third = 0
@@ -114,7 +105,7 @@
 		standing += l.report.open
 	}
 	listed := s.size(n, now)
-	spread := spread(n.cfg.Settings.Policy.Siblings, standing, listed)
+	spread := scale.Spread(n.cfg.Settings.Policy.Siblings, standing, listed)
 	for _, server := range slices.Sorted(maps.Keys(s.lags)) {
 		l := s.lags[server]
 		if !l.seen && !l.report.crowded(now) && !l.told && !l.probe.asking() {
--- a/internal/net/desk.go
+++ b/internal/net/desk.go
@@ -10,6 +10,7 @@
 
 	"tealtiller/internal/deadline"
 	"tealtiller/internal/line"
+	"tealtiller/internal/operation"
 	"tealtiller/internal/slot"
 	"tealtiller/policy"
 )
@@ -268,7 +269,7 @@
 // close ends the socket and tells the outcome.
 func (d *desk) close(now time.Duration, reset bool, result policy.Result) {
 	if !d.over {
-		d.node.trace("step-ended", "host", d.server, "id", d.front.opening.ID, "stood", d.up, "result", int(result), "after", now-d.upAt)
+		d.node.trace("step-ended", "host", d.server, "id", d.front.opening.ID, "stood", d.up, "result", operation.Results[result], "after", now-d.upAt)
 		d.drop(reset)
 		d.node.table.Ended(now, d.front.op, result)
 	}
--- a/internal/net/probe_test.go
+++ b/internal/net/probe_test.go
@@ -79,18 +79,3 @@
 	l.missedAt = 9500 * time.Millisecond
 	assert.Equal(t, time.Second, l.silent(n, 10*time.Second))
 }
-
-// All balancers together ask a desk host no more often than a few would, however many they are.
-func TestQuestionsDoNotGrowWithTheFleet(t *testing.T) {
-	for _, c := range []struct{ siblings, standing, listed int }{{1, 50, 10}, {3, 60, 10}, {4, 1, 10}} {
-		assert.Equal(t, 1.0, spread(c.siblings, c.standing, c.listed), "%v", c)
-	}
-	for _, n := range []int{20, 80, 800} {
-		const open, hosts = 400, 10
-		holders := min(float64(n), open/hosts)
-		// In the span in which one alone asks once; who holds one of 400 as one of 800 takes holders to be twice as many.
-		asked := holders / spread(n, max(open/n, 1), hosts)
-		assert.LessOrEqual(t, asked, 1.01*usualFleet, "%d balancers", n)
-		assert.Greater(t, asked, 0.4*usualFleet, "%d balancers", n)
-	}
-}
--- a/internal/operation/operation.go
+++ b/internal/operation/operation.go
@@ -338,7 +338,8 @@
 	t.settle()
 }
 
-var results = map[policy.Result]string{policy.OK: "ok", policy.Error: "error", policy.TurnedAway: "busy",
+// Results are the names of how route steps and connections end.
+var Results = map[policy.Result]string{policy.OK: "ok", policy.Error: "error", policy.TurnedAway: "busy",
 	policy.Timeout: "timeout", policy.ConnectFailed: "connect failed", policy.Reset: "reset",
 	policy.Cancelled: "cancelled", policy.Moot: "moot"}
 
@@ -350,9 +351,9 @@
 	t.deadlines.Stop(op.until)
 	op.out = false
 	if op.stands {
-		t.count.Add("connections ended: " + results[result])
+		t.count.Add("connections ended: " + Results[result])
 	} else {
-		t.count.Add("route steps ended: " + results[result])
+		t.count.Add("route steps ended: " + Results[result])
 	}
 	over := op.answered || result == policy.OK
 	if !over && op.handed { // no other desk host can go on with it
--- a/policy/api.go
+++ b/policy/api.go
@@ -63,15 +63,8 @@
 
 	patience   time.Duration // the longest set-up aim of any class
 	messageAim time.Duration // the shortest message aim of any class
-	rushSpan   float64       // seconds in which what counts for the rush fades to a third
 }
 
-// Many tells whether so many balancers share a list of servers that what one holds of a server says next to nothing
-// of what that holds: there are more of them than servers, and more than a few.
-func (s Settings) Many(listed int) bool { return s.Siblings > max(listed, few) }
-
-const few = 8
-
 // State is what the list says of a server.
 type State int
 
--- a/policy/ask_test.go
+++ b/policy/ask_test.go
@@ -8,27 +8,40 @@
 
 // asking makes siblings that may ask for reports, before the same servers.
 func asking(n int, servers []Server) (out []*sibling) {
-	for _, b := range siblings(n, 0, servers) {
-		b.set.Asks = true
+	out = siblings(n, 0, servers)
+	for _, b := range out {
+		b.set.Asks, b.host.actions = true, nil
+	}
+	return out
+}
+
+// fates gives each sibling a request, and counts the servers that these are sent to, the "refused" and the "held".
+func fates(all []*sibling, q func(i int) Request) map[string]int {
+	out := map[string]int{"held": len(all)}
+	for i, b := range all {
 		b.host.actions = nil
-		out = append(out, b)
+		b.Request(t0+time.Duration(i)*ms, q(i))
+		for _, a := range b.host.actions {
+			if a.name == "refuse" {
+				a.server = "refused"
+			} else if a.name != "send" {
+				continue
+			}
+			out[a.server]++
+			out["held"]--
+		}
 	}
 	return out
 }
 
-// Each of 80 balancers takes one connection of a key. To each its two top servers are equally empty; all together
-// fill both. A few balancers, each of which soon holds enough to tell, take the top at a tie.
+func sameKey(i int) Request  { return req(fmt.Sprint("r", i), 7) }
+func otherKey(i int) Request { return req(fmt.Sprint("r", i), uint64(i)) }
+
+// To each of 80 balancers a key's two top servers are equally empty; all together fill both. A few take the top.
 func TestTiesOfManyBalancersAreSharedByBothTopServers(t *testing.T) {
 	for _, c := range []struct{ n, low, high int }{{80, 25, 55}, {3, 3, 3}, {9, 9, 9}} {
-		top := 0
-		for _, b := range siblings(c.n, 0, fleet(10)) {
-			b.host.actions = nil
-			b.Request(t0, req("r", 7))
-			if sent := b.host.take("send"); len(sent) == 1 && sent[0].server == ids(b.Balancer, 7)[0] {
-				top++
-			}
-		}
-		if top < c.low || top > c.high {
+		all := siblings(c.n, 0, fleet(10))
+		if top := fates(all, sameKey)[ids(all[0].Balancer, 7)[0]]; top < c.low || top > c.high {
 			t.Errorf("%d of %d balancers took the top", top, c.n)
 		}
 	}
@@ -66,13 +79,12 @@
 	b := asking(80, fleet(10))[0]
 	rank := ids(b.Balancer, 7)
 	b.Request(t0, req("r", 7))
-	b.Reported(t0+200*ms, rank[0], Report{Answered: false, Delay: 0})
+	b.Reported(t0+200*ms, rank[0], Report{})
 	if b.passOver(t0+201*ms, &request{}, b.servers[rank[0]]) != doubted {
 		t.Error("not passed over though it gave no report")
 	}
 	b.host.actions = nil
-	limit := settings().Classes["safe"].Aim
-	for at := t0 + 201*ms; at < t0+limit; at += 5 * ms {
+	for at := t0 + 201*ms; at < t0+settings().Classes["safe"].Aim; at += 5 * ms {
 		if b.Wake(at, timerHeld); len(b.host.take("send")) == 1 {
 			return
 		}
@@ -82,9 +94,8 @@
 
 // Few balancers ask nothing, nor do many where servers are not to be asked.
 func TestFewBalancersAskNothing(t *testing.T) {
-	b, many := asking(3, fleet(10))[0], siblings(80, 0, fleet(10))[0]
-	many.host.actions = nil
-	for _, s := range []*sibling{b, many} {
+	for _, s := range []*sibling{asking(3, fleet(10))[0], siblings(80, 0, fleet(10))[0]} {
+		s.host.actions = nil
 		s.Request(t0, req("r", 7))
 		if acts := s.host.actions; len(acts) != 1 || acts[0].name != "send" {
 			t.Errorf("did %v", acts)
@@ -92,41 +103,29 @@
 	}
 }
 
-// Of 80 balancers each sees two or three connections of three flights, which ten servers could bear. No server is
-// filled much beyond the rest, though no balancer ever holds more than three.
+// Each of 80 balancers sees two or three connections of three flights; asking, they fill no server beyond its room.
 func TestManyBalancersFillServersEvenlyByAsking(t *testing.T) {
 	const n, clients, room = 80, 200, 26 // of a server, before messages take long
 	for _, asks := range []bool{true, false} {
-		all := siblings(n, 0, fleet(10))
-		stand := map[string]int{}
+		all, most, sum, stand := siblings(n, 0, fleet(10)), 0, 0, map[string]int{}
 		for i := range clients {
-			b := all[i*7%n]
-			b.set.Asks = asks
-			now, q := t0+time.Duration(i)*50*ms, req(fmt.Sprint("r", i), uint64(i%3))
-			b.host.actions = nil
+			b, now, q := all[i*7%n], t0+time.Duration(i)*50*ms, req(fmt.Sprint("r", i), uint64(i%3))
+			b.set.Asks, b.host.actions = asks, nil
 			b.Request(now, q)
 			for range 20 { // rounds of questions
 				acts := b.host.actions
 				b.host.actions = nil
 				for _, a := range acts {
-					switch a.name {
-					case "ask":
-						delay := time.Duration(0)
-						if stand[a.server] >= room {
-							delay = 80 * ms
-						}
-						b.Reported(now, a.server, Report{Answered: true, Delay: delay})
-					case "send":
+					if late := time.Duration(stand[a.server] / room); a.name == "ask" {
+						b.Reported(now, a.server, Report{Answered: true, Delay: min(late, 1) * 80 * ms})
+					} else if a.name == "send" {
 						stand[a.server]++
+						most, sum = max(most, stand[a.server]), sum+1
 						b.First(now, q.ID)
 					}
 				}
 			}
 		}
-		most, sum := 0, 0
-		for _, held := range stand {
-			most, sum = max(most, held), sum+held
-		}
 		if sum < clients*4/5 { // some are told to come back, by balancers that know of full servers only
 			t.Errorf("asks %v: %d of %d stand", asks, sum, clients)
 		}
@@ -136,33 +135,27 @@
 	}
 }
 
-// 42 clients of a server that stopped come back within a second, to 80 balancers, before any report tells of them. The
-// two servers that they rank first had room for eight each. They are sent about that, and the rest elsewhere; a client
-// that comes for the first time is no part of such a rush.
+// 42 clients of a server that stopped come back before any report tells of them. The two servers that they rank first
+// are sent about as many as they have room for, but all of those that come for the first time.
 func TestWhoComesBackIsLetInByRoom(t *testing.T) {
 	for _, c := range []struct {
 		load      float64
 		returned  bool
 		low, high int
 	}{{0.6, true, 2, 18}, {0.3, true, 14, 32}, {0.6, false, 42, 42}} {
-		sent := 0
-		for i, b := range asking(80, fleet(10))[:42] {
-			rank := ids(b.Balancer, 7)
+		all := asking(80, fleet(10))[:42]
+		rank := ids(all[0].Balancer, 7)
+		for _, b := range all {
 			for j, id := range rank {
-				load := 0.0
-				if j < 2 {
-					load = c.load
-				}
-				b.Reported(t0, id, Report{Answered: true, Load: load})
-			}
-			q := req(fmt.Sprint("r", i), 7)
-			q.Returned, b.host.actions = c.returned, nil
-			b.Request(t0+time.Duration(i)*20*ms, q)
-			if got := b.host.take("send"); len(got) == 1 && (got[0].server == rank[0] || got[0].server == rank[1]) {
-				sent++
+				b.Reported(t0, id, Report{Answered: true, Load: []float64{c.load, 0}[min(j/2, 1)]})
 			}
 		}
-		if sent < c.low || sent > c.high {
+		got := fates(all, func(i int) Request {
+			q := sameKey(i)
+			q.Returned = c.returned
+			return q
+		})
+		if sent := got[rank[0]] + got[rank[1]]; sent < c.low || sent > c.high {
 			t.Errorf("%+v: %d sent to the two", c, sent)
 		}
 	}
@@ -187,48 +180,28 @@
 func TestWhoIsRefusedHasAChanceAtColdServers(t *testing.T) {
 	servers := fleet(8)
 	servers[7].Started = t0 - 5*time.Second
-	cold, other := 0, 0
-	for i, b := range asking(400, servers) {
+	all := asking(400, servers)
+	for _, b := range all {
 		b.set.Shared = 400
 		for _, s := range b.list {
-			if s.Started == 0 {
-				s.delay, s.delayAt, s.heardAt = 80*ms, t0, t0
-			}
-			s.heardAt = t0
-		}
-		b.Request(t0+ms, req("r", uint64(i)))
-		for _, a := range b.host.take("send") {
-			if a.server == servers[7].ID {
-				cold++
-			} else {
-				other++
+			if s.heardAt = t0; s.Started == 0 {
+				s.delay, s.delayAt = 80*ms, t0
 			}
 		}
 	}
-	if cold == 0 || cold > 60 || other > 0 {
+	got := fates(all, otherKey)
+	cold := got[servers[7].ID]
+	if other := len(all) - cold - got["refused"] - got["held"]; cold == 0 || cold > 60 || other > 0 {
 		t.Errorf("%d sent to the cold server, %d to late ones", cold, other)
 	}
 }
 
-// All that is left is a cold server, and it has no room for a request of one of many: its one chance is drawn, so it is
-// told to come back at once, and not held until its time is up.
+// A cold server is all that is left: who has drawn no chance at it is told to come back at once, not held to the end.
 func TestWhoHasNoChanceIsAnsweredAtOnce(t *testing.T) {
 	servers := fleet(1)
 	servers[0].Started = t0
-	sent, refused := 0, 0
-	for i, b := range asking(80, servers) {
-		b.set.Asks = false
-		b.Request(t0+ms, req(fmt.Sprint("r", i), uint64(i)))
-		for _, a := range b.host.actions {
-			switch a.name {
-			case "send":
-				sent++
-			case "refuse":
-				refused++
-			}
-		}
-	}
-	if sent+refused != 80 || refused < 60 {
+	got := fates(siblings(80, 0, servers), otherKey)
+	if sent, refused := got[servers[0].ID], got["refused"]; sent+refused != 80 || refused < 60 {
 		t.Errorf("%d sent, %d refused at once, of 80", sent, refused)
 	}
 }
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -14,6 +14,8 @@
 	"slices"
 	"strconv"
 	"time"
+
+	"tealtiller/internal/scale"
 )
 
 // ---- The ranking (CARP 3.1 to 3.4). It depends on list and key alone. ----
@@ -250,8 +252,7 @@
 			top, b.pair[0] = s, s
 		default:
 			b.pair[1] = s
-			less, tied := s.occupancy() < top.occupancy(), s.occupancy() == top.occupancy()
-			if less || tied && b.many() && b.rng.IntN(2) == 0 {
+			if d := s.occupancy() - top.occupancy(); d < 0 || d == 0 && b.many() && b.rng.IntN(2) == 0 {
 				top = s
 			}
 			return top, 0
@@ -262,7 +263,7 @@
 
 // many: where more balancers than servers share out connections, our counts tell next to nothing. Danger: for
 // each of them a key's two top servers tie at nothing, and all together fill the first; so ties are drawn.
-func (b *Balancer) many() bool { return b.set.Many(len(b.list)) }
+func (b *Balancer) many() bool { return scale.Many(b.set.Siblings, len(b.list)) }
 
 // unheard asks the servers that a request may go to for reports, and tells whether to wait for them, for less
 // than its aim. Danger: what fills a server comes by balancers of which we never hear; and if all ask
@@ -296,8 +297,7 @@
 // holds tells how likely a server holds a connection of a key that arrives mid-flow, and how many of the key
 // came here that way. Siblings rank alike and meet the same trouble: most stand where those we placed do;
 // without any, at the top or the runner-up, but hardly at one that is slow or started since. Danger: of a key
-// of many clients dozens arrive at once, and those sent elsewhere than to their holder fill one server; so
-// each that came counts off what is expected.
+// of many clients dozens arrive at once; those sent elsewhere fill one server, so each that came counts off.
 func (b *Balancer) holds(now time.Duration, s *server, key uint32) (ours, came int) {
 	if s.Started > 0 && now-s.Started < lasting {
 		return -2, 0
@@ -368,6 +368,10 @@
 
 const noteEvery = time.Second // and once more when back under a third of the shortest aim
 
+func (b *Balancer) shunned(now time.Duration, s *server) bool {
+	return s.State == Draining || b.fails(now, s) || b.alike(s)
+}
+
 func (b *Balancer) fails(now time.Duration, s *server) bool { return now < s.until || b.slow(now, s) }
 
 func (b *Balancer) slow(now time.Duration, s *server) bool {
@@ -426,7 +430,7 @@
 // ---- Cold servers ----
 
 // headroom is how many times its usual load a server bears: a fleet must outlive the loss of half of itself.
-const headroom, rushSpans, mostLoad = 2, 10, 0.8 // times; spans of Fall that requests count; near the full
+const headroom, mostLoad = 2, 0.8 // times; of what a server can do: near the full
 
 // warmth is the least share of its capacity that a server has now.
 func (b *Balancer) warmth(now time.Duration, s *server) float64 {
@@ -450,7 +454,7 @@
 	share := b.set.OverloadFactor * w * float64(b.set.Fall) / float64(b.set.WarmAfter)
 	if b.many() { // what a server bears when all is well, our part of it; and what we take
 		bears := max(b.set.Shared/b.size/float64(b.set.Siblings), b.usual(now)) * s.Weight
-		taken := b.rush / (1 + rushSpans*(1-b.fade(now-b.rushFrom)))
+		taken := b.rush.Rate(now, b.set.Fall)
 		if r.returned {
 			taken = max(taken, 2*bears)
 		}
@@ -507,13 +511,10 @@
 // Request takes a client's request and places it, or holds it.
 func (b *Balancer) Request(now time.Duration, q Request) {
 	b.taken = append(b.within(now+1, b.taken), now)
-	b.rush, b.rushAt, b.rushFrom = 1+b.rush*b.fade(now-b.rushAt), now, cmp.Or(b.rushFrom, now)
+	b.rush.Take(now, b.set.Fall)
 	b.place(now, b.admit(now, q))
 }
 
-// fade is what a request that came so long ago still counts for in the rush.
-func (b *Balancer) fade(ago time.Duration) float64 { return math.Exp(-ago.Seconds() / b.set.rushSpan) }
-
 // Open counts a connection that stood when this instance started.
 func (b *Balancer) Open(now time.Duration, q Request, server string) {
 	r := b.admit(now, q)
--- a/policy/siblings_test.go
+++ b/policy/siblings_test.go
@@ -65,14 +65,11 @@
 	}
 }
 
-// Of many siblings hardly any has a request while it has a part. There each request has its chance: however the
-// clients come, all together send a cold server what it bears and no more, and most of it where as many come as are
-// expected. A rush that comes out of calm is one of clients that return.
+// However clients come to many siblings, all together send a cold server what it bears and no more.
 func TestChancesAtAColdServerAddUp(t *testing.T) {
 	const n, bears, spans = 80, 20, 6 // balancers; connections that the server bears when warm
-	servers := fleet(1)
+	set, servers := settings(), fleet(1)
 	servers[0].Started = t0
-	set := settings()
 	for _, c := range []struct {
 		rate      int // requests of all in a span of Fall
 		returned  bool
@@ -285,8 +282,7 @@
 	}
 }
 
-// What discovery has to tell counts as told once nobody has asked for AskWithin. A call takes up to 2 s to fail, so the
-// next one follows within what is left, however many siblings there are and however often it has failed.
+// A call takes up to 2 s to fail; the next one follows within what is left of AskWithin, however often it has failed.
 func TestTheNextCallFollowsInTimeThoughCallsFail(t *testing.T) {
 	for _, n := range []int{3, 80, 700} {
 		for _, b := range siblings(n, 0, fleet(10)) {
--- a/policy/state.go
+++ b/policy/state.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"math/rand/v2"
 	"time"
+
+	"tealtiller/internal/scale"
 )
 
 // This file holds what an instance remembers; the decisions stand in policy.go.
@@ -31,9 +33,7 @@
 	// how many of our connections a warm server holds, and as of when
 	usualOpen float64
 	usualAt   time.Duration
-	rush      float64        // requests taken lately, each counting less as time goes on
-	rushAt    time.Duration  // as of when
-	rushFrom  time.Duration  // when the first came
+	rush      scale.Rush     // of requests taken
 	roomAt    time.Duration  // when a cold server was last sent one beyond its budget
 	keys      map[uint32]int // requests by the hash of their key
 	seen      int            // all of them
@@ -115,7 +115,6 @@
 // derive fills in what follows from the rest; being extremes, they do not depend on the order of the map.
 func (s *Settings) derive() {
 	s.Siblings = max(s.Siblings, 1)
-	s.rushSpan = (rushSpans * s.Fall).Seconds()
 	for _, c := range s.Classes {
 		s.patience = max(s.patience, c.Aim)
 		if c.MessageAim > 0 && (s.messageAim == 0 || c.MessageAim < s.messageAim) {
@@ -130,7 +129,7 @@
 		if s.State == Gone {
 			continue
 		}
-		if listed++; s.State == Draining || b.fails(now, s) || b.alike(s) {
+		if listed++; b.shunned(now, s) {
 			avoided++
 		}
 	}
