Of many balancers, fresh reports count a server well and let new requests in by room

A probe that logged each give-up (reverted) showed 4,929 of 4,930 with excess=true: overloaded() said 0.91 to 0.98 from tallies of well=0..3 against fail=3..10 of 90 listed. survey() counted a server well only by this balancer's own standing connections (policy.go, "case s.standing > 0"); one of 300 holds them at one or two servers, so four slow ones among 90 read as most of the fleet.

Ruled out: counting every listed server not known to fail as well. The refusals were holding hosts up.

Second cause, in the same logs: in the first 4.5 s one host, s-, got 23 clients of one group from 22 balancers, reported 0.30, 0.83, 2.78, 5.69 and dropped 20; two others went the same way (15 of one group from 15 balancers). full() looked at the report's load for returning clients only ("r.returned && ..."), so a report of 2.78 stopped no new request: each of 300 sends a key's one or two and all together bury its top host.

Change, both only where scale.Many holds: - survey: a server that answered a question within 3 s counts as well. - full: a new request passes over a server whose fresh report says load L with a chance of L/mostLoad (none at 0, all at 0.8 or more); returning clients as before.

TestManyBalancersFillServersEvenlyByAsking depends on the random stream: drawing the chance at load 0 too put 38 on its fullest server (room 26).

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -140,11 +140,11 @@
 	return eligible
 }
 
-// full: by its report a server must be sent no more. Who comes back may be one of all that stood at another,
-// of which no report tells yet: each has a chance, by the room that is left for all of them.
+// full: by its report a server is full; of many, for a new request by the room that it leaves, as each sends
+// a key's one or two and all fill it. Who comes back may be one of all that stood at another: by chance.
 func (b *Balancer) full(now time.Duration, r *request, s *server) bool {
-	return b.slow(now, s) && s.delay >= b.set.messageAim/2 ||
-		r.returned && now-s.heardAt < 3*noteEvery && s.load+r.chance(b, s) > mostLoad
+	return b.slow(now, s) && s.delay >= b.set.messageAim/2 || now-s.heardAt < 3*noteEvery && (r.returned &&
+		s.load+r.chance(b, s) > mostLoad || !r.returned && s.load > 0 && s.load > mostLoad*r.chance(b, s))
 }
 
 // chance is drawn once for a request and a server.
@@ -164,8 +164,8 @@
 		scope == ScopeCell && s.Cell == other.Cell
 }
 
-// survey counts which servers that we know, by doubt or own connections, are well, by zone and kind; and
-// whether the list is wrong on what is gone: our connections prove it, over a third makes it likely.
+// survey counts servers known to be well (by own connections; of many, few hold ours: by a fresh report) or
+// to fail, by zone and kind; and if the list is wrong on what is gone: ours prove it, a third makes it so.
 func (b *Balancer) survey(now time.Duration) {
 	clear(b.tallies)
 	gone, proof := 0, false
@@ -180,7 +180,7 @@
 			n.fail, n.bad = 1, 1
 		case s.strikes > 0 && now < s.until+b.set.patience<<doublings:
 			n.bad = 1
-		case s.standing > 0:
+		case s.standing > 0, b.many() && s.heardAt > 0 && now-s.heardAt < 3*noteEvery:
 			n.well = 1
 		}
 		for _, p := range [...]part{{}, {"zone", s.Zone}, {"kind", s.Kind}} {
--- a/policy/siblings_test.go
+++ b/policy/siblings_test.go
@@ -241,6 +241,27 @@
 	}
 }
 
+// One of 300 balancers holds a connection at one of 90 servers; five are slow, twenty told lately that they are
+// well. What it knows of the well ones by report weighs as what it knows by its own connections: no overload.
+func TestFreshReportsOfManyWeighAgainstSlowServers(t *testing.T) {
+	for _, c := range []struct{ siblings, low, high int }{{300, 0, 40}, {1, 3700, 3999}} {
+		set := settings()
+		set.Siblings = c.siblings
+		b, h := newBalancerWith(t, set, fleet(90))
+		b.Open(t0, req("open", 1), b.list[0].ID)
+		for i, s := range b.list[1:26] {
+			if i < 5 {
+				b.Heard(t0, s.hash, 300*ms)
+			} else {
+				b.Reported(t0, s.ID, Report{Answered: true, Load: 0.3})
+			}
+		}
+		if _, refused := whileOverloaded(b, h); refused < c.low || refused > c.high {
+			t.Errorf("%d balancers: %d of 4000 refused", c.siblings, refused)
+		}
+	}
+}
+
 // The store that every set-up calls is overrun while all connections that stand are served well: set-ups that fail
 // in a row shut the door but for a sixteenth, further attempts too, and one that stands opens it.
 func TestStoreThatFailsShutsTheDoorUntilASetUpStands(t *testing.T) {
