Watch a pushed list from the start: a node in push mode never called its agent

Cause: where the list is pushed (discovery "automatic") the module never asks (policy: watched, MustAsk false), and the node dialled discovery only for MustAsk (internal/net/pool.go, turn) or when the module asked. On sockets a pushed list reaches the process only through the agent, and what the agent has counts as told.

--- a/internal/net/node.go
+++ b/internal/net/node.go
@@ -328,6 +328,9 @@
 		}, carrier{n}, &n.deadlines, n.count)
 		n.weigher = placement.NewWeigher(n.cfg.Placement.Plan, n.cfg.Settings.Policy.Zone)
 		n.members(now, policy.Cached, n.known)
+		if n.pool.pushed() {
+			n.pool.watch(true)
+		}
 		n.reweigh(now)
 		n.delays.next(n, now)
 		n.recorder.turn(n, now)
--- a/internal/net/pool.go
+++ b/internal/net/pool.go
@@ -19,8 +19,14 @@
 	client  *poolconfig.Client
 	call    *call // the connection that is in use; one that failed is left to itself
 	on      bool
+	fails   int // calls failed in a row, where the list is pushed
 }
 
+// pushed tells that the list is pushed to an agent on our own machine: the module never asks for it, so the watch
+// is kept here from the start, and one that broke is made anew. Danger: what the agent has counts as told to us,
+// watched or not; a balancer that never calls it routes to desk hosts that drained long ago.
+func (p *pool) pushed() bool { return !p.node.cfg.Settings.Policy.MustAsk }
+
 // call is one connection to discovery.
 type call struct {
 	pool    *pool
@@ -47,10 +53,8 @@
 	if p.call != nil {
 		p.drop()
 	}
-	if p.node.cfg.Settings.Policy.MustAsk {
-		p.on = true
-		p.dial()
-	}
+	p.on, p.fails = true, 0
+	p.dial()
 }
 
 func (p *pool) watch(on bool) {
@@ -104,6 +108,14 @@
 	p.node.count.Add("discovery calls failed")
 	p.node.log.Warn("discovery-call-failed", "reason", err)
 	p.node.table.Members(now, policy.Failed, nil)
+	if p.pushed() {
+		p.fails++
+		p.node.deadlines.Set(now+poolconfig.Pause(p.fails), func(time.Duration) {
+			if !p.node.gone() {
+				p.watch(true)
+			}
+		})
+	}
 }
 
 func (c *call) opened(now time.Duration, conn gnet.Conn) gnet.Action {
@@ -159,7 +171,7 @@
 	p.node.count.Add("discovery answers")
 	p.node.trace("discovery-answer", "revision", list.Revision, "complete", list.Complete, "members", len(list.Members))
 	p.node.deadlines.Stop(p.call.limit)
-	p.call.waiting = false
+	p.call.waiting, p.fails = false, 0
 	kind := policy.Delta
 	if list.Complete {
 		kind = policy.Full
