--- /dev/null
+++ b/internal/failover/failover.go
@@ -0,0 +1,224 @@
+// Package failover decides, for each zone of desk hosts, how much of its own traffic it may take now. It is pure, as
+// etcd's raft is: no I/O, no clock, no goroutine; events come in with the time, states go out.
+//
+// What every balancer sees alike comes first: the list, with each host's zone, phase and start. A zone whose hosts
+// are gone, draining or cold has a lower target share at every balancer at once. This balancer's own outcomes come
+// second, faded by the clock and counted only as much as was seen, with hysteresis. The share moves towards its target
+// by at most Swing a second, so that a link that flaps does not swing the fleet, and a zone back from the dark is
+// ramped as its hosts warm, by all balancers together.
+package failover
+
+import (
+	"math"
+	"slices"
+	"time"
+)
+
+// Settings are the figures of the module. Times are durations on the clock that comes in.
+type Settings struct {
+	Warm     time.Duration // how long a host that has just started takes to be warm
+	ColdFrom float64       // the part of its capacity that a host has at its start, 0 to 1
+	Span     time.Duration // over which this balancer's own outcomes fade (by e after one Span)
+	Least    float64       // the weight of outcomes below which they decide nothing
+	Enter    float64       // the failing part of outcomes at which a zone is shunned
+	Leave    float64       // the failing part under which it is no longer; Leave < Enter
+	Swing    float64       // the most that a zone's share moves in a second
+}
+
+// Defaults: warm-up and cold start as both sites have them at their slowest, a swing of a quarter a second.
+var Defaults = Settings{Warm: 8500 * time.Millisecond, ColdFrom: 0.39, Span: 3 * time.Second, Least: 4, Enter: 0.6,
+	Leave: 0.3, Swing: 0.25}
+
+// Host is one entry of the list as the module needs it.
+type Host struct {
+	Zone      string
+	InService bool          // neither draining nor gone
+	UpSince   time.Duration // when it last started, on the same clock; 0 or less for long ago
+}
+
+// State is what a zone is to this balancer.
+type State int
+
+const (
+	Near      State = iota // takes all of its own traffic
+	Shared                 // takes a part; the rest goes to the nearest zone with room
+	Shunned                // takes nothing new while another zone can
+	Returning              // back: its part grows in steps
+)
+
+func (s State) String() string { return [...]string{"near", "shared", "shunned", "returning"}[s] }
+
+type zone struct {
+	up      []time.Duration // starts of the hosts in service
+	listed  int
+	ok, bad float64       // outcomes, faded
+	seenAt  time.Duration // as of when they are faded
+	shunned bool
+	share   float64
+	at      time.Duration // as of when share holds
+	target  float64
+	fresh   bool // not yet aimed: its share starts at its target, so a zone first seen cold is not sent all at once
+}
+
+// Zones holds what is known of all zones.
+type Zones struct {
+	set   Settings
+	zones map[string]*zone
+	names []string // in order, so that nothing depends on a map's
+}
+
+// New makes a module that knows no zone.
+func New(set Settings) *Zones { return &Zones{set: set, zones: map[string]*zone{}} }
+
+func (z *Zones) of(name string, now time.Duration) *zone {
+	c := z.zones[name]
+	if c == nil {
+		c = &zone{share: 1, target: 1, at: now, seenAt: now, fresh: true}
+		z.zones[name] = c
+		i, _ := slices.BinarySearch(z.names, name)
+		z.names = slices.Insert(z.names, i, name)
+	}
+	return c
+}
+
+// Listed takes the whole list. A zone that no longer has a host keeps its state, with no host in service.
+func (z *Zones) Listed(now time.Duration, hosts []Host) {
+	z.advance(now)
+	for _, c := range z.zones {
+		c.up, c.listed = c.up[:0], 0
+	}
+	for _, h := range hosts {
+		c := z.of(h.Zone, now)
+		if c.listed++; h.InService {
+			c.up = append(c.up, h.UpSince)
+		}
+	}
+	z.aim(now)
+}
+
+// Saw takes one outcome of this balancer's own at a host of a zone: ok where it came up or answered in time.
+func (z *Zones) Saw(now time.Duration, name string, ok bool) {
+	z.advance(now)
+	c := z.of(name, now)
+	c.fade(now, z.set.Span)
+	if ok {
+		c.ok++
+	} else {
+		c.bad++
+	}
+	z.judge(c)
+	z.aim(now)
+}
+
+// Share is the part of its own traffic that a zone may take now, 0 to 1; 1 for a zone never heard of.
+func (z *Zones) Share(now time.Duration, name string) float64 {
+	z.advance(now)
+	z.aim(now)
+	if c := z.zones[name]; c != nil {
+		return c.share
+	}
+	return 1
+}
+
+// State tells what a zone is now.
+func (z *Zones) State(now time.Duration, name string) State {
+	share := z.Share(now, name)
+	c := z.zones[name]
+	switch {
+	case c == nil || share >= 1:
+		return Near
+	case share <= 0 && c.target <= 0:
+		return Shunned
+	case c.target > share:
+		return Returning
+	default:
+		return Shared
+	}
+}
+
+// Names lists the zones known, in order.
+func (z *Zones) Names() []string { return slices.Clone(z.names) }
+
+// Fallback is the zone to use when every zone's share is nothing: of those with a host in service, the one whose
+// outcomes fail least; "" where no zone has one.
+func (z *Zones) Fallback(now time.Duration) string {
+	best, least := "", math.Inf(1)
+	for _, name := range z.names {
+		c := z.zones[name]
+		c.fade(now, z.set.Span)
+		if f := c.failing(); len(c.up) > 0 && f < least {
+			best, least = name, f
+		}
+	}
+	return best
+}
+
+func (c *zone) fade(now, span time.Duration) {
+	if now > c.seenAt && span > 0 {
+		k := math.Exp(-float64(now-c.seenAt) / float64(span))
+		c.ok, c.bad = c.ok*k, c.bad*k
+	}
+	c.seenAt = max(c.seenAt, now)
+}
+
+func (c *zone) failing() float64 {
+	if c.ok+c.bad == 0 {
+		return 0
+	}
+	return c.bad / (c.ok + c.bad)
+}
+
+// judge applies the hysteresis. Evidence that has faded below Least decides nothing, so a shunned zone, which is sent
+// nothing and so says nothing, is tried again once its evidence has faded: in steps, by the swing.
+func (z *Zones) judge(c *zone) {
+	seen := c.ok+c.bad >= z.set.Least
+	switch f := c.failing(); {
+	case seen && f >= z.set.Enter:
+		c.shunned = true
+	case !seen || f <= z.set.Leave:
+		c.shunned = false
+	}
+}
+
+// aim sets each zone's target: the warmth of its hosts in service over those listed, or nothing while shunned.
+func (z *Zones) aim(now time.Duration) {
+	for _, name := range z.names {
+		c := z.zones[name]
+		c.fade(now, z.set.Span)
+		z.judge(c)
+		c.target = 0
+		if c.shunned || c.listed == 0 {
+			continue
+		}
+		warmth := 0.0
+		for _, up := range c.up {
+			warmth += z.warmth(now, up)
+		}
+		c.target = warmth / float64(c.listed)
+	}
+	for _, c := range z.zones {
+		if c.fresh {
+			c.share, c.fresh = c.target, false
+		}
+	}
+}
+
+func (z *Zones) warmth(now, up time.Duration) float64 {
+	if up <= 0 || z.set.Warm <= 0 || now-up >= z.set.Warm {
+		return 1
+	}
+	return z.set.ColdFrom + (1-z.set.ColdFrom)*float64(max(now-up, 0))/float64(z.set.Warm)
+}
+
+// advance moves each share towards the target that held since the last event, by at most Swing a second.
+func (z *Zones) advance(now time.Duration) {
+	for _, name := range z.names {
+		c := z.zones[name]
+		if now <= c.at {
+			continue
+		}
+		step := z.set.Swing * (now - c.at).Seconds()
+		c.share = min(max(c.target, c.share-step), c.share+step)
+		c.at = now
+	}
+}
