Zone shares told in the log where the operator's file has a failover block

Need: the failover issue asks for the fleet's verdict on zones and for signs of it in the log; a new part stays off in run unless the operator's HCL file turns it on.

Change: the operator's file takes a failover block (warm, cold_from, span, least, enter, leave, swing; each optional, ranges checked, leave under enter, refused whole with file, line and reason). Where it is given the node feeds internal/failover from the list (whole or delta) and from its route steps (up: sound; timeout, connect failed, reset, ERR before UP: failing; BUSY: neither), and logs zone-state with zone, state and share on each change, looking again every 250 ms while a share moves. It decides nothing yet. failover.State now says shared as soon as a zone's target falls under its share, and Moving tells that a share is still on its way.

--- a/cmd/tealtiller/main.go
+++ b/cmd/tealtiller/main.go
@@ -85,7 +85,7 @@
 			if err != nil {
 				return t, err
 			}
-			t.Plan, t.Placement = file.Cells, file.Placement
+			t.Plan, t.Placement, t.Failover = file.Cells, file.Placement, file.Failover
 		}
 		t.Config, err = source.Load()
 		return t, err
--- a/deploy/operator.hcl
+++ b/deploy/operator.hcl
@@ -2,6 +2,10 @@
 # told of it (--operator, or EDGE_OPERATOR); here it stands as an example, and `bin/tealtiller check` accepts it.
 # docs/cells.md explains every line.
 
+# failover {                # docs/failover.md: zone shares, as yet only told in the log
+#   swing = 0.25
+# }
+
 # placement {                # docs/placement.md
 #   plan   = "plan.json"     # made by bin/tealtiller plan
 #   record = "seen-{name}.jsonl"
--- a/internal/failover/failover.go
+++ b/internal/failover/failover.go
@@ -125,17 +125,31 @@
 	share := z.Share(now, name)
 	c := z.zones[name]
 	switch {
-	case c == nil || share >= 1:
+	case c == nil:
 		return Near
 	case share <= 0 && c.target <= 0:
 		return Shunned
 	case c.target > share:
 		return Returning
+	case share >= 1:
+		return Near
 	default:
 		return Shared
 	}
 }
 
+// Moving tells whether some zone's share has still to reach its target, so that its state may change with no event.
+func (z *Zones) Moving(now time.Duration) bool {
+	z.advance(now)
+	z.aim(now)
+	for _, c := range z.zones {
+		if c.share != c.target {
+			return true
+		}
+	}
+	return false
+}
+
 // Names lists the zones known, in order.
 func (z *Zones) Names() []string { return slices.Clone(z.names) }
 
--- a/internal/net/desk.go
+++ b/internal/net/desk.go
@@ -154,6 +154,7 @@
 		d.node.delays.of(d.server).fresh = true
 		d.node.count.Add("operations served")
 		d.node.trace("step-up", "host", d.server, "id", d.front.opening.ID, "returned", d.front.opening.Returned, "mid", d.front.opening.MidFlow)
+		d.node.zoneSaw(now, d.server, true)
 		d.node.write(d.front.conn, text)
 		d.node.table.Up(now, d.front.op)
 		d.front.traffic(now)
@@ -270,6 +271,9 @@
 func (d *desk) close(now time.Duration, reset bool, result policy.Result) {
 	if !d.over {
 		d.node.trace("step-ended", "host", d.server, "id", d.front.opening.ID, "stood", d.up, "result", operation.Results[result], "after", now-d.upAt)
+		if !d.up && (result == policy.Timeout || result == policy.ConnectFailed || result == policy.Reset || result == policy.Error) {
+			d.node.zoneSaw(now, d.server, false) // a full host that says BUSY is no sign of a broken zone
+		}
 		d.drop(reset)
 		d.node.table.Ended(now, d.front.op, result)
 	}
--- a/internal/net/node.go
+++ b/internal/net/node.go
@@ -22,6 +22,7 @@
 	"tealtiller/internal/cells"
 	"tealtiller/internal/counters"
 	"tealtiller/internal/deadline"
+	"tealtiller/internal/failover"
 	"tealtiller/internal/line"
 	"tealtiller/internal/operation"
 	"tealtiller/internal/operator"
@@ -37,6 +38,7 @@
 	settings.Config
 	Plan      *cells.Plan // nil: no cells
 	Placement operator.Placement
+	Failover  *failover.Settings // nil: no zone shares
 }
 
 // Node is one balancer. Its gnet callbacks and all its methods but Run, Reload, Drain and Report belong to the loop.
@@ -53,6 +55,7 @@
 	origin    time.Time
 	table     *operation.Table
 	fleet     *cells.Fleet // the module that the table speaks with
+	zones     *zones       // nil unless the operator's file turns them on
 	deadlines deadline.Queue
 	count     counters.Set
 	folder    string // that the processes of this balancer share
@@ -164,6 +167,7 @@
 	n.table.Settle(n.now(), func() { n.fleet.Replan(n.now(), cfg.Plan) })
 	n.reweigh(n.now())
 	n.recorder.turn(n, n.now())
+	n.turnZones(n.now())
 	if cfg.Discovery != n.pool.address {
 		n.pool.turn(cfg.Discovery)
 	}
@@ -327,6 +331,7 @@
 			return n.fleet
 		}, carrier{n}, &n.deadlines, n.count)
 		n.weigher = placement.NewWeigher(n.cfg.Placement.Plan, n.cfg.Settings.Policy.Zone)
+		n.turnZones(now)
 		n.members(now, policy.Cached, n.known)
 		if n.pool.pushed() {
 			n.pool.watch(true)
@@ -347,6 +352,7 @@
 		n.trace("listed", "host", m.ID, "state", int(m.State), "started_ms", m.Started.Milliseconds())
 	}
 	n.table.Members(now, kind, n.weigher.Take(now, kind, list.Servers()))
+	n.zonesListed(now, kind, list.Servers())
 	n.delays.size(n, now)
 }
 
--- a/internal/net/scenario_test.go
+++ b/internal/net/scenario_test.go
@@ -362,7 +362,7 @@
 		if err != nil {
 			return t, err
 		}
-		t.Plan, t.Placement = file.Cells, file.Placement
+		t.Plan, t.Placement, t.Failover = file.Cells, file.Placement, file.Failover
 	}
 	t.Config, err = r.source.Load()
 	return t, err
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -16,6 +16,7 @@
 	"github.com/hashicorp/hcl/v2/hclsyntax"
 
 	"tealtiller/internal/cells"
+	"tealtiller/internal/failover"
 	"tealtiller/internal/placement"
 )
 
@@ -23,6 +24,7 @@
 type File struct {
 	Cells     *cells.Plan // nil: no cells
 	Placement Placement
+	Failover  *failover.Settings // nil: off
 }
 
 // Placement is where a plan is read and what a balancer sees is recorded.
@@ -47,6 +49,18 @@
 type document struct {
 	Cells     *cellsBlock     `hcl:"cells,block"`
 	Placement *placementBlock `hcl:"placement,block"`
+	Failover  *failoverBlock  `hcl:"failover,block"`
+}
+
+// failoverBlock turns zone shares on; every figure may be left out for its default (docs/failover.md).
+type failoverBlock struct {
+	Warm     string   `hcl:"warm,optional"`
+	ColdFrom *float64 `hcl:"cold_from,optional"`
+	Span     string   `hcl:"span,optional"`
+	Least    *float64 `hcl:"least,optional"`
+	Enter    *float64 `hcl:"enter,optional"`
+	Leave    *float64 `hcl:"leave,optional"`
+	Swing    *float64 `hcl:"swing,optional"`
 }
 
 type placementBlock struct {
@@ -129,6 +143,11 @@
 		r.places = index(body, "placement")
 		r.placement(doc.Placement, filepath.Dir(name), &out.Placement)
 	}
+	if doc.Failover != nil && len(r.errors) == 0 {
+		body, _ := parsed.Body.(*hclsyntax.Body)
+		r.places = index(body, "failover")
+		out.Failover = r.failover(doc.Failover)
+	}
 	if err := r.error(name); err != nil {
 		return nil, err
 	}
@@ -175,6 +194,43 @@
 	}
 }
 
+func (r *reader) failover(b *failoverBlock) *failover.Settings {
+	set := failover.Defaults
+	span := func(attribute, text string, into *time.Duration) {
+		if text == "" {
+			return
+		}
+		d, err := time.ParseDuration(text)
+		if err != nil || d < 100*time.Millisecond || d > 10*time.Minute {
+			r.fail("", "", attribute, "want a span of 100ms to 10m")
+		}
+		*into = d
+	}
+	part := func(attribute string, v *float64, low float64, into *float64) {
+		if v == nil {
+			return
+		}
+		if *into = *v; *v < low || *v > 1 {
+			r.fail("", "", attribute, "want a figure from %g to 1", low)
+		}
+	}
+	span("warm", b.Warm, &set.Warm)
+	span("span", b.Span, &set.Span)
+	part("cold_from", b.ColdFrom, 0, &set.ColdFrom)
+	part("enter", b.Enter, 0.01, &set.Enter)
+	part("leave", b.Leave, 0, &set.Leave)
+	part("swing", b.Swing, 0.01, &set.Swing)
+	if b.Least != nil {
+		if set.Least = *b.Least; *b.Least < 1 || *b.Least > 1000 {
+			r.fail("", "", "least", "want a figure from 1 to 1000")
+		}
+	}
+	if set.Leave >= set.Enter {
+		r.fail("", "", "leave", "want less than enter (%g), or a zone would flap", set.Enter)
+	}
+	return &set
+}
+
 // mostPlan bounds a plan file: 1,000 hosts in two rooms and 20,000 flights take 1.5 MB.
 const mostPlan, usualEvery, usualLargest = 8 << 20, 5 * time.Second, 64
 
