--- a/internal/failover/failover_test.go
+++ b/internal/failover/failover_test.go
@@ -1,7 +1,6 @@
 package failover
 
 import (
-	"fmt"
 	"math"
 	"testing"
 	"time"
@@ -11,65 +10,43 @@
 
 var zoneNames = []string{"lisboa", "porto", "coimbra", "faro"}
 
-// event is one input: a list, an outcome, or a question.
-type event struct {
-	after time.Duration
-	kind  int // 0 list, 1 outcome, 2 question
-	hosts []Host
-	zone  string
-	ok    bool
-}
+const start = 100 * time.Second // of the clock that comes in
 
-func events(t *rapid.T, now time.Duration) []event {
-	n := rapid.IntRange(1, 60).Draw(t, "events")
-	out := make([]event, 0, n)
-	at := now
-	for i := range n {
-		e := event{after: time.Duration(rapid.IntRange(0, 3000).Draw(t, fmt.Sprint("ms", i))) * time.Millisecond}
-		at += e.after
-		e.kind = rapid.IntRange(0, 2).Draw(t, fmt.Sprint("kind", i))
-		e.zone = rapid.SampledFrom(zoneNames).Draw(t, fmt.Sprint("zone", i))
-		e.ok = rapid.Bool().Draw(t, fmt.Sprint("ok", i))
-		if e.kind == 0 {
-			for j := range rapid.IntRange(0, 8).Draw(t, fmt.Sprint("hosts", i)) {
-				h := Host{Zone: rapid.SampledFrom(zoneNames).Draw(t, fmt.Sprint("hz", i, j)),
-					InService: rapid.Bool().Draw(t, fmt.Sprint("in", i, j))}
-				if rapid.Bool().Draw(t, fmt.Sprint("young", i, j)) {
-					h.UpSince = at - time.Duration(rapid.IntRange(0, 10000).Draw(t, fmt.Sprint("up", i, j)))*time.Millisecond
-				}
-				e.hosts = append(e.hosts, h)
+// feed draws events, lists and outcomes some milliseconds apart, hands each to all modules and calls after at its time.
+func feed(t *rapid.T, after func(now time.Duration), zs ...*Zones) time.Duration {
+	now, zone := start, rapid.SampledFrom(zoneNames)
+	for range rapid.IntRange(1, 60).Draw(t, "events") {
+		now += time.Duration(rapid.IntRange(0, 3000).Draw(t, "ms")) * time.Millisecond
+		var hosts []Host
+		list, ok := rapid.Bool().Draw(t, "list"), rapid.Bool().Draw(t, "ok")
+		for range rapid.IntRange(0, 8).Draw(t, "hosts") {
+			up := now - time.Duration(rapid.IntRange(0, 10000).Draw(t, "up"))*time.Millisecond
+			hosts = append(hosts, Host{Zone: zone.Draw(t, "in"), InService: rapid.Bool().Draw(t, "serves"), UpSince: up})
+		}
+		name := zone.Draw(t, "zone")
+		for _, z := range zs {
+			if list {
+				z.Listed(now, hosts)
+			} else {
+				z.Saw(now, name, ok)
 			}
 		}
-		out = append(out, e)
-	}
-	return out
-}
-
-func apply(z *Zones, now time.Duration, e event) {
-	switch e.kind {
-	case 0:
-		z.Listed(now, e.hosts)
-	case 1:
-		z.Saw(now, e.zone, e.ok)
+		after(now)
 	}
+	return now
 }
 
 // The same inputs give the same states: what balancers derive from the list alike, they derive alike.
 func TestSameInputsSameStates(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		start := 100 * time.Second
 		a, b := New(Defaults), New(Defaults)
-		now := start
-		for _, e := range events(t, start) {
-			now += e.after
-			apply(a, now, e)
-			apply(b, now, e)
+		feed(t, func(now time.Duration) {
 			for _, name := range zoneNames {
 				if sa, sb := a.Share(now, name), b.Share(now, name); sa != sb || a.State(now, name) != b.State(now, name) {
 					t.Fatalf("%s at %v: %v %v against %v %v", name, now, sa, a.State(now, name), sb, b.State(now, name))
 				}
 			}
-		}
+		}, a, b)
 	})
 }
 
@@ -78,24 +55,17 @@
 func TestNoSwingFasterThanItsBound(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		z := New(Defaults)
-		now := 100 * time.Second
 		last, lastAt := map[string]float64{}, map[string]time.Duration{}
-		for _, e := range events(t, now) {
-			now += e.after
-			apply(z, now, e)
+		feed(t, func(now time.Duration) {
 			for _, name := range z.Names() {
 				s := z.Share(now, name)
-				if s < 0 || s > 1 {
-					t.Fatalf("%s: share %v", name, s)
-				}
-				if was, ok := last[name]; ok {
-					if bound := Defaults.Swing*(now-lastAt[name]).Seconds() + 1e-9; math.Abs(s-was) > bound {
-						t.Fatalf("%s moved %v in %v (bound %v)", name, s-was, now-lastAt[name], bound)
-					}
+				was, ok := last[name]
+				if s < 0 || s > 1 || ok && math.Abs(s-was) > Defaults.Swing*(now-lastAt[name]).Seconds()+1e-9 {
+					t.Fatalf("%s: %v to %v in %v", name, was, s, now-lastAt[name])
 				}
 				last[name], lastAt[name] = s, now
 			}
-		}
+		}, z)
 	})
 }
 
@@ -103,11 +73,7 @@
 func TestSoundZonesComeBack(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		z := New(Defaults)
-		now := 100 * time.Second
-		for _, e := range events(t, now) {
-			now += e.after
-			apply(z, now, e)
-		}
+		now := feed(t, func(time.Duration) {}, z)
 		var hosts []Host
 		for _, name := range zoneNames {
 			hosts = append(hosts, Host{Zone: name, InService: true, UpSince: now})
@@ -128,34 +94,27 @@
 // A zone whose outcomes fail is shunned only once enough was seen, and stays so until they fade or mend.
 func TestEvidenceCountsByWhatWasSeen(t *testing.T) {
 	z := New(Defaults)
-	now := 100 * time.Second
-	z.Listed(now, []Host{{Zone: "porto", InService: true}, {Zone: "faro", InService: true}})
-	z.Saw(now, "porto", false)
-	z.Saw(now, "porto", false)
-	if st := z.State(now, "porto"); st != Near {
-		t.Fatalf("two failures of one balancer moved the zone: %v", st)
+	z.Listed(start, []Host{{Zone: "porto", InService: true}, {Zone: "faro", InService: true}})
+	state := func(at time.Duration, share float64, want State) {
+		t.Helper()
+		if s, st := z.Share(at, "porto"), z.State(at, "porto"); s != share && share >= 0 || st != want {
+			t.Fatalf("at %v: share %v, %v; want %v, %v", at-start, s, st, share, want)
+		}
 	}
+	z.Saw(start, "porto", false)
+	z.Saw(start, "porto", false)
+	state(start, 1, Near) // two failures of one balancer do not move the zone
 	for range 4 {
-		z.Saw(now, "porto", false)
+		z.Saw(start, "porto", false)
 	}
-	if z.Share(now+100*time.Millisecond, "porto") >= 1 {
-		t.Fatal("six failures in a row left the zone's share whole")
-	}
-	if s, st := z.Share(now+time.Second, "porto"), z.State(now+time.Second, "porto"); s != 1-Defaults.Swing || st != Shared {
-		t.Fatalf("after 1 s: share %v, %v", s, st)
-	}
-	at := now + time.Second
-	for ; at < now+5*time.Second; at += 500 * time.Millisecond {
+	state(start+time.Second, 1-Defaults.Swing, Shared)
+	at := start + time.Second
+	for ; at < start+5*time.Second; at += 500 * time.Millisecond {
 		z.Saw(at, "porto", false)
 	}
-	if s, st := z.Share(at, "porto"), z.State(at, "porto"); s != 0 || st != Shunned {
-		t.Fatalf("after 4 s: share %v, %v", s, st)
-	}
+	state(at, 0, Shunned)
 	if z.Fallback(at) != "faro" {
 		t.Fatalf("fallback %q", z.Fallback(at))
 	}
-	back := at + 5*Defaults.Span
-	if st := z.State(back, "porto"); st != Returning {
-		t.Fatalf("evidence faded: %v", st)
-	}
+	state(at+5*Defaults.Span, -1, Returning) // the evidence has faded
 }
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -141,24 +141,20 @@
 // Zone shares are off without a failover block; with one, what is left out is the default, and what makes no sense is
 // told with its line.
 func TestFailover(t *testing.T) {
-	file, err := Parse([]byte("placement {}\n"), "f.hcl")
-	require.NoError(t, err)
-	assert.Nil(t, file.Failover)
-	file, err = Parse([]byte("failover {\n  swing = 0.1\n  span  = \"5s\"\n}\n"), "f.hcl")
+	file, err := Parse([]byte("failover {\n  swing = 0.1\n  span  = \"5s\"\n}\n"), "f.hcl")
 	require.NoError(t, err)
 	want := failover.Defaults
 	want.Swing, want.Span = 0.1, 5*time.Second
 	assert.Equal(t, &want, file.Failover)
-	for text, at := range map[string]string{
-		"failover {\n  swing = 0\n}\n":                    "f.hcl:2:11: want a figure from 0.01 to 1",
-		"failover {\n  span = \"soon\"\n}\n":              "f.hcl:2:10: want a span",
-		"failover {\n\n  enter = 0.3\n  leave = 0.5\n}\n": "f.hcl:4:11: want less than enter (0.3)",
-		"failover {\n  least = 0\n}\n":                    "f.hcl:2:11: want a figure from 1",
-		"failover {\n  cold_from = 2\n}\n":                "f.hcl:2:15: want a figure from 0 to 1",
-	} {
-		_, err := Parse([]byte(text), "f.hcl")
+	file, err = Parse([]byte("placement {}\n"), "f.hcl")
+	require.NoError(t, err)
+	assert.Nil(t, file.Failover)
+	for text, at := range map[string]string{"swing = 0": "2:11: want a figure from 0.01 to 1",
+		`span = "soon"`: "2:10: want a span", "\n  enter = 0.3\n  leave = 0.5": "4:11: want less than enter (0.3)",
+		"least = 0": "2:11: want a figure from 1", "cold_from = 2": "2:15: want a figure from 0 to 1"} {
+		_, err := Parse([]byte("failover {\n  "+text+"\n}\n"), "f.hcl")
 		var all Error
 		require.ErrorAs(t, err, &all, text)
-		assert.True(t, strings.HasPrefix(all[0], at), "%q: %s", text, all[0])
+		assert.True(t, strings.HasPrefix(all[0], "f.hcl:"+at), "%q: %s", text, all[0])
 	}
 }
--- a/internal/poolconfig/poolconfig_test.go
+++ b/internal/poolconfig/poolconfig_test.go
@@ -121,15 +121,8 @@
 
 // A pushed list's watch is made anew soon, and an agent that refuses at once is not asked in a tight loop.
 func TestPauseGrowsAndStaysShort(t *testing.T) {
-	prev := time.Duration(0)
-	for fails := 1; fails <= 20; fails++ {
-		p := Pause(fails)
-		if p < prev || p < 50*time.Millisecond || p > 1600*time.Millisecond {
-			t.Fatalf("pause after %d failures: %v (before %v)", fails, p, prev)
-		}
-		prev = p
-	}
-	if Pause(1) != 50*time.Millisecond || Pause(20) != 1600*time.Millisecond {
-		t.Fatalf("pauses %v to %v", Pause(1), Pause(20))
+	for fails := 1; fails < 20; fails++ {
+		assert.LessOrEqual(t, Pause(fails), Pause(fails+1))
 	}
+	assert.Equal(t, []time.Duration{50 * time.Millisecond, 1600 * time.Millisecond}, []time.Duration{Pause(1), Pause(20)})
 }
