Zone shares: the list from the weigher, shares brought to a moment once

Seen on rereading the change: net.zones kept a map of the whole list with its own whole/delta/gone logic, which placement.Weigher already keeps for every list (Weigher.Listed); node.members built the servers of a list twice; and each failover.State or Share brought every zone's share and target to the moment anew, so telling the states after each route step worked out all zones once for each zone.

Change: zones takes the list from the weigher and keeps only each host's zone, for the outcomes; failover.Zones brings shares and targets to a moment once (settle) and a question at the same moment finds them so.

--- a/internal/failover/failover.go
+++ b/internal/failover/failover.go
@@ -62,9 +62,10 @@
 
 // Zones holds what is known of all zones.
 type Zones struct {
-	set   Settings
-	zones map[string]*zone
-	names []string // in order, so that nothing depends on a map's
+	set     Settings
+	zones   map[string]*zone
+	names   []string      // in order, so that nothing depends on a map's
+	aimedAt time.Duration // shares and targets hold as of then; a question at the same time finds them so
 }
 
 // New makes a module that knows no zone.
@@ -112,8 +113,7 @@
 
 // Share is the part of its own traffic that a zone may take now, 0 to 1; 1 for a zone never heard of.
 func (z *Zones) Share(now time.Duration, name string) float64 {
-	z.advance(now)
-	z.aim(now)
+	z.settle(now)
 	if c := z.zones[name]; c != nil {
 		return c.share
 	}
@@ -140,8 +140,7 @@
 
 // Moving tells whether some zone's share has still to reach its target, so that its state may change with no event.
 func (z *Zones) Moving(now time.Duration) bool {
-	z.advance(now)
-	z.aim(now)
+	z.settle(now)
 	for _, c := range z.zones {
 		if c.share != c.target {
 			return true
@@ -194,8 +193,17 @@
 	}
 }
 
+// settle brings shares and targets to a moment, once for each: the same moment again changes nothing.
+func (z *Zones) settle(now time.Duration) {
+	if now != z.aimedAt {
+		z.advance(now)
+		z.aim(now)
+	}
+}
+
 // aim sets each zone's target: the warmth of its hosts in service over those listed, or nothing while shunned.
 func (z *Zones) aim(now time.Duration) {
+	z.aimedAt = now
 	for _, name := range z.names {
 		c := z.zones[name]
 		c.fade(now, z.set.Span)
--- a/internal/net/node.go
+++ b/internal/net/node.go
@@ -352,7 +352,7 @@
 		n.trace("listed", "host", m.ID, "state", int(m.State), "started_ms", m.Started.Milliseconds())
 	}
 	n.table.Members(now, kind, n.weigher.Take(now, kind, list.Servers()))
-	n.zonesListed(now, kind, list.Servers())
+	n.zonesListed(now)
 	n.delays.size(n, now)
 }
 
--- a/internal/net/zones.go
+++ b/internal/net/zones.go
@@ -12,7 +12,7 @@
 type zones struct {
 	set    failover.Settings
 	module *failover.Zones
-	hosts  map[string]policy.Server // the whole list as told so far; a delta builds on it
+	zoneOf map[string]string // of each listed host, from the list that the weigher holds
 	told   map[string]failover.State
 	again  bool // a look is set for a share still on its way
 }
@@ -23,40 +23,27 @@
 // turnZones starts, keeps or ends the zone shares as the terms say. Danger: new settings would judge old evidence by
 // other figures, so a change begins anew from the list held.
 func (n *Node) turnZones(now time.Duration) {
-	set := n.cfg.Failover
-	switch {
+	switch set := n.cfg.Failover; {
 	case set == nil:
 		n.zones = nil
 	case n.zones == nil || n.zones.set != *set:
-		z := &zones{set: *set, module: failover.New(*set), hosts: map[string]policy.Server{}, told: map[string]failover.State{}}
-		if n.zones != nil {
-			z.hosts = n.zones.hosts
-		}
-		n.zones = z
-		n.zonesListed(now, policy.Delta, nil)
+		n.zones = &zones{set: *set, module: failover.New(*set), told: map[string]failover.State{}}
+		n.zonesListed(now)
 	}
 }
 
-// zonesListed takes what the pool config told.
-func (n *Node) zonesListed(now time.Duration, kind policy.MembersKind, servers []policy.Server) {
+// zonesListed takes the list as the weigher holds it, once it has taken what the pool config told.
+func (n *Node) zonesListed(now time.Duration) {
 	z := n.zones
 	if z == nil {
 		return
 	}
-	if kind == policy.Full || kind == policy.Cached {
-		clear(z.hosts)
-	}
-	for _, s := range servers {
-		if s.State == policy.Gone {
-			delete(z.hosts, s.ID)
-		} else {
-			z.hosts[s.ID] = s
-		}
-	}
-	hosts := make([]failover.Host, 0, len(z.hosts))
-	for _, s := range z.hosts {
-		hosts = append(hosts, failover.Host{Zone: s.Zone, InService: s.State == policy.Ready, UpSince: s.Started})
+	listed := n.weigher.Listed()
+	hosts, zoneOf := make([]failover.Host, len(listed)), make(map[string]string, len(listed))
+	for i, s := range listed {
+		hosts[i], zoneOf[s.ID] = failover.Host{Zone: s.Zone, InService: s.State == policy.Ready, UpSince: s.Started}, s.Zone
 	}
+	z.zoneOf = zoneOf
 	z.module.Listed(now, hosts)
 	n.zonesTell(now)
 }
@@ -64,8 +51,8 @@
 // zoneSaw takes the outcome of a route step at a desk host: ok where it came up.
 func (n *Node) zoneSaw(now time.Duration, host string, ok bool) {
 	if z := n.zones; z != nil {
-		if s, known := z.hosts[host]; known {
-			z.module.Saw(now, s.Zone, ok)
+		if zone, known := z.zoneOf[host]; known {
+			z.module.Saw(now, zone, ok)
 			n.zonesTell(now)
 		}
 	}
@@ -74,8 +61,8 @@
 func (n *Node) zonesTell(now time.Duration) {
 	z := n.zones
 	for _, name := range z.module.Names() {
-		state, was := z.module.State(now, name), z.told[name]
-		if _, known := z.told[name]; known && state == was {
+		state := z.module.State(now, name)
+		if was, known := z.told[name]; known && state == was {
 			continue
 		}
 		z.told[name] = state
