Lab: a dark room on sockets and make prove-failover on 30 balancer processes

Change: fault "dark" { at, for, part, room } in the one lab harness: the room's stand-in hosts keep every connection, read and answer nothing (PING, OPEN, lines of what stands) while discovery goes on listing them, then reset all and start cold. The auditor tells each balancer's last new attempt into the dark room and the share of new attempts kept in the balancer's own room while no room is dark.

Test TestADarkRoomOnSockets fails without the fault (no balancer told).

--- a/cmd/lab/main.go
+++ b/cmd/lab/main.go
@@ -163,7 +163,7 @@
 }
 
 type prove struct {
-	What string `arg:"" enum:"cells,move,size,placement,placement-size,placement-worth" help:"One of ${enum}."`
+	What string `arg:"" enum:"cells,move,size,placement,placement-size,placement-worth,failover" help:"One of ${enum}."`
 	Dir  string `default:"lab" type:"path" help:"Where the experiments are."`
 	Plot string `type:"path" help:"A folder for pictures."`
 	binary
@@ -178,6 +178,8 @@
 		v, err = lab.ProveCells(c.Dir, c.Seed, c.Binary)
 	case "move":
 		v, err = lab.ProveMove(c.Dir, c.Seed, c.Binary)
+	case "failover":
+		v, err = lab.ProveFailover(c.Dir, c.Seed, c.Binary)
 	case "size":
 		v, sized, err = lab.ProveSize(c.Dir, c.Seed, runtime.NumCPU())
 	case "placement":
--- a/internal/lab/client.go
+++ b/internal/lab/client.go
@@ -293,6 +293,15 @@
 	if s.plan != nil && !mid && !belongs(s.plan, s.now(), carrier, group, s.cellOf[h.ID]) {
 		a.Foreign++
 	}
+	if from := s.sender(id); from != nil && !mid {
+		switch {
+		case s.darkRoom == "":
+			a.Sent++
+			a.Near += b2i(h.Room == from.room)
+		case h.Room == s.darkRoom:
+			s.lastDark[from] = time.Since(s.darkAt)
+		}
+	}
 	for _, n := range s.nodes {
 		if told := n.told[h.ID]; !told.IsZero() && time.Since(told) > 350*time.Millisecond && !mid && s.fromNode(n, id) {
 			a.LateDrains++
@@ -301,6 +310,23 @@
 	return attempt
 }
 
+// sender is the balancer that a client came through.
+func (s *Sockets) sender(id string) *node {
+	for c := range s.live {
+		if c.id == id {
+			return c.node
+		}
+	}
+	return nil
+}
+
+func b2i(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
 func (s *Sockets) fromNode(n *node, id string) bool {
 	for c := range s.live {
 		if c.id == id {
--- a/internal/lab/experiment.go
+++ b/internal/lab/experiment.go
@@ -46,7 +46,8 @@
 // (the same, failing a share of openings), hot-key (further traffic, a share of all, under one key of a carrier, each weighing size times as much),
 // heavy (a carrier's connections weigh size times as much), deploy (hosts drain, end and are replaced), discovery
 // (out of reach), drop (a share of a carrier's clients, or of all, drop and come again), drain (part of the hosts drain and leave; with a size they are replaced),
-// restart (one balancer, by SIGTERM and SIGKILL).
+// restart (one balancer, by SIGTERM and SIGKILL), dark (the hosts of a room vanish for a span: connections stay open and
+// nothing is answered, as TCP says nothing of a machine gone; discovery still lists them; they are back cold).
 type Fault struct {
 	Kind    string  `hcl:"kind,label"`
 	At      string  `hcl:"at"`
@@ -55,6 +56,7 @@
 	Size    float64 `hcl:"size,optional"`
 	Cell    string  `hcl:"cell,optional"`
 	Carrier string  `hcl:"carrier,optional"`
+	Room    string  `hcl:"room,optional"`
 }
 
 // even is a plan of so many equal cells.
@@ -92,7 +94,7 @@
 	{"brecon-air", 0.08}, {"conwy-hop", 0.08}, {"ynys-air", 0.07}}
 
 var kinds = map[string]bool{"crash": true, "errors": true, "hot-key": true, "heavy": true, "deploy": true, "discovery": true,
-	"drop": true, "drain": true, "restart": true}
+	"drop": true, "drain": true, "restart": true, "dark": true}
 
 // Load reads an experiment and the operator's file that it names.
 func Load(path string) (*Experiment, error) {
@@ -159,7 +161,7 @@
 // InVirtualTime tells what speaks against playing it there: balancers and discovery have no process to end.
 func (e *Experiment) InVirtualTime() error {
 	for _, f := range e.Faults {
-		if f.Kind == "restart" || f.Kind == "discovery" {
+		if f.Kind == "restart" || f.Kind == "discovery" || f.Kind == "dark" {
 			return fmt.Errorf("fault %q is played on sockets only", f.Kind)
 		}
 	}
@@ -287,7 +289,7 @@
 // hit picks the hosts that a fault is for: a part, rounded up, of those of its cell, or of all.
 func (f *Fault) hit(rng *rand.Rand, specs []Spec, cellOf map[string]string) (out []Spec) {
 	for _, s := range specs {
-		if f.Cell == "" || cellOf[s.ID] == f.Cell {
+		if (f.Cell == "" || cellOf[s.ID] == f.Cell) && (f.Room == "" || s.Room == f.Room) {
 			out = append(out, s)
 		}
 	}
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -25,7 +25,7 @@
 		assert.NoError(t, err, f)
 		played++
 	}
-	assert.Equal(t, 4, played)
+	assert.Equal(t, 5, played)
 }
 
 func spec() Spec {
@@ -155,3 +155,22 @@
 	assert.Less(t, after.Worth.Crossings(), equal.Worth.Crossings()*0.6)
 	assert.Zero(t, after.Lost+after.Doubled+after.Foreign)
 }
+
+// A dark room holds what comes and answers nothing; each balancer's last attempt into it is told, and every OPEN
+// still has one answer.
+func TestADarkRoomOnSockets(t *testing.T) {
+	folder := t.TempDir()
+	binary := filepath.Join(folder, "tealtiller")
+	out, err := exec.Command("go", "build", "-o", binary, "tealtiller/cmd/tealtiller").CombinedOutput()
+	require.NoError(t, err, string(out))
+	e := &Experiment{Duration: "6s", Balancers: 2, Hosts: 6, PerCore: 300, Opens: 30, Life: "3s", Flights: 4, Settle: "0s", Pause: "2s",
+		Skew: 0.5, Dir: "../../lab", Faults: []Fault{{Kind: "dark", At: "1s", For: "2s", Part: 1, Room: "llandaff"}}}
+	s, err := NewSockets(e, 1, false, binary, folder)
+	require.NoError(t, err)
+	defer s.Close()
+	o := s.Run()
+	assert.Len(t, o.Quiet, 2)
+	assert.Equal(t, [4]int{}, [4]int{o.Lost, o.Doubled, o.TwoInFlight, o.Crashed})
+	assert.Greater(t, o.Sent, 0)
+	assert.LessOrEqual(t, o.Near, o.Sent)
+}
--- a/internal/lab/sockets.go
+++ b/internal/lab/sockets.go
@@ -55,6 +55,10 @@
 	// what the balancers recorded, where the experiment has them do so
 	fleet    *placement.Fleet
 	fleetErr error
+	// a room that is dark, since when, and the last new attempt that each balancer sent into it
+	darkRoom string
+	darkAt   time.Time
+	lastDark map[*node]time.Duration
 }
 
 type change struct {
@@ -86,10 +90,12 @@
 	Fallen                         int // cold hosts pushed over
 	Cut                            int // connections cut off without MOVE while their desk host still answered
 	Moves                          int
-	Followed                       int   // of them told to clients that stood in a cell that their flight had left
-	MovedTwice                     int   // clients to which that happened more than once
-	Crashed                        int   // balancers that ended by themselves
-	Worth                          Worth // seconds are lines here
+	Followed                       int             // of them told to clients that stood in a cell that their flight had left
+	MovedTwice                     int             // clients to which that happened more than once
+	Crashed                        int             // balancers that ended by themselves
+	Near, Sent                     int             // new attempts to a host in the balancer's own room, and all, while no room was dark
+	Quiet                          []time.Duration // by balancer: its last new attempt into a dark room, after it went dark
+	Worth                          Worth           // seconds are lines here
 	Cells                          map[string]*Group
 	Carriers                       map[string]*Group
 }
@@ -481,6 +487,7 @@
 	l       net.Listener
 	held    map[string]*desk // what stands, by the client's id
 	conns   map[net.Conn]bool
+	dark    bool // gone without a word: what comes is read and never answered
 }
 
 // desk is a connection that stands. Its packets may stop coming and go on through another balancer.
@@ -526,6 +533,25 @@
 	h.Stop(h.lab.now())
 }
 
+func (h *standIn) silent() bool {
+	h.lab.mu.Lock()
+	defer h.lab.mu.Unlock()
+	return h.dark
+}
+
+// light ends a darkness: what was held open is reset, and the host starts cold.
+func (h *standIn) light() {
+	h.lab.mu.Lock()
+	defer h.lab.mu.Unlock()
+	h.dark = false
+	for c := range h.conns {
+		reset(c)
+	}
+	h.held = map[string]*desk{}
+	h.Stop(h.lab.now())
+	h.Start(h.lab.now())
+}
+
 func reset(c net.Conn) {
 	if t, ok := c.(*net.TCPConn); ok {
 		_ = t.SetLinger(0)
@@ -552,6 +578,10 @@
 		if err != nil {
 			return
 		}
+		if h.silent() && !strings.HasPrefix(text, "OPEN") {
+			_, _ = io.Copy(io.Discard, r) // until the balancer gives up, or the light comes back
+			return
+		}
 		switch word, _, _ := strings.Cut(strings.TrimSpace(text), " "); word {
 		case "PING":
 			_, err = io.WriteString(c, "PONG\r\n")
@@ -590,6 +620,14 @@
 	s.mu.Lock()
 	now := s.now()
 	attempt := s.audit.attempt(s, h, id, fields["t"], group, fields["mid"] == "1")
+	if h.dark {
+		s.mu.Unlock()
+		_, _ = io.Copy(io.Discard, r)
+		s.mu.Lock()
+		s.audit.attemptEnds(id, attempt)
+		s.mu.Unlock()
+		return
+	}
 	if d := h.held[id]; fields["mid"] == "1" && (d != nil || !s.audit.broken[id]) {
 		if d == nil { // not held here; after this it is set up anew, wherever it is sent
 			s.audit.broken[id] = true
@@ -651,6 +689,11 @@
 			}()
 			return
 		}
+		if h.silent() {
+			_, _ = io.Copy(io.Discard, r)
+			h.close(id, d, c)
+			return
+		}
 		s.mu.Lock()
 		h.Advance(s.now())
 		wait := h.Message(s.now())
@@ -773,6 +816,25 @@
 		s.mu.Unlock()
 	case "restart":
 		s.restart(s.nodes[len(s.nodes)-1])
+	case "dark":
+		s.mu.Lock()
+		s.darkRoom, s.darkAt, s.lastDark = f.Room, time.Now(), map[*node]time.Duration{}
+		for _, spec := range hit {
+			s.hosts[spec.ID].dark = true
+		}
+		s.mu.Unlock()
+		if !s.sleep(until) {
+			return
+		}
+		for _, spec := range hit {
+			s.hosts[spec.ID].light()
+		}
+		s.mu.Lock()
+		for _, n := range s.nodes {
+			s.audit.Quiet = append(s.audit.Quiet, s.lastDark[n])
+		}
+		s.darkRoom = ""
+		s.mu.Unlock()
 	}
 }
 
--- /dev/null
+++ b/lab/failover.hcl
@@ -0,0 +1,18 @@
+# Balancers in two rooms; the room "llandaff" goes dark for 6 s: its hosts hold what comes and answer nothing, while
+# discovery goes on listing them, and they are back cold. `make prove-failover` plays it.
+duration  = "30s"
+settle    = "6s"
+pause     = "400ms"
+balancers = 30
+hosts     = 16
+per_core  = 600
+opens     = 120
+life      = "12s"
+skew      = 0.5
+
+fault "dark" {
+  at   = "12s"
+  for  = "6s"
+  part = 1
+  room = "llandaff"
+}
