--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -25,7 +25,7 @@
 		assert.NoError(t, err, f)
 		played++
 	}
-	assert.Equal(t, 5, played)
+	assert.Equal(t, 6, played)
 }
 
 func spec() Spec {
--- a/internal/lab/prove.go
+++ b/internal/lab/prove.go
@@ -229,32 +229,35 @@
 
 func round4(x float64) float64 { return math.Round(x*1e4) / 1e4 }
 
-// ProveFailover darkens a room under load: the rules hold throughout, the fleet stops sending new attempts into the
-// dark room, and while no room is dark the balancers keep to their own room.
+// ProveFailover darkens a room under load, on 30 balancer processes and on 300: the rules hold throughout, the fleet
+// stops sending new attempts into the dark room, and while no room is dark the balancers keep to their own room.
 func ProveFailover(dir string, seed uint64, binary string) (*Verdict, error) {
-	exp, err := Load(filepath.Join(dir, "failover.hcl"))
-	if err != nil {
-		return nil, err
-	}
 	v := &Verdict{Proof: "failover", Seed: seed, Figures: map[string]any{}}
-	o, _, err := on(*exp, seed, false, binary)
-	if err != nil {
-		return nil, err
-	}
-	v.rules("failover", o)
-	quiet := slices.Sorted(slices.Values(o.Quiet))
-	v.must(len(quiet) == exp.Balancers, "%d of %d balancers were seen through the darkness", len(quiet), exp.Balancers)
-	if len(quiet) == 0 {
-		return v, nil
+	for _, name := range []string{"failover.hcl", "failover-300.hcl"} {
+		exp, err := Load(filepath.Join(dir, name))
+		if err != nil {
+			return nil, err
+		}
+		o, _, err := on(*exp, seed, false, binary)
+		if err != nil {
+			return nil, err
+		}
+		run := fmt.Sprint(exp.Balancers)
+		v.rules(run, o)
+		quiet := slices.Sorted(slices.Values(o.Quiet))
+		v.must(len(quiet) == exp.Balancers, "%s: %d balancers were seen through the darkness", run, len(quiet))
+		if len(quiet) == 0 {
+			continue
+		}
+		near := float64(o.Near) / max(float64(o.Sent), 1)
+		most := quiet[int(math.Ceil(0.95*float64(len(quiet))))-1]
+		dark := span(exp.Faults[0].For)
+		v.must(most < dark, "%s: 95%% of the fleet sent into the dark room until %v, the whole darkness", run, most)
+		v.must(near >= 0.95, "%s: %.3f of new attempts stayed in their balancer's room while no room was dark, under 0.95", run, near)
+		v.Figures["balancers_"+run] = map[string]any{"lost": o.Lost, "doubled": o.Doubled, "two_in_flight": o.TwoInFlight,
+			"late_drains": o.LateDrains, "opens": o.Opens, "served": o.Served, "refused": o.Refused, "failed": o.Failed,
+			"near_share": round4(near), "quiet_median_s": round(quiet[len(quiet)/2]), "quiet_95_s": round(most),
+			"quiet_max_s": round(quiet[len(quiet)-1]), "dark_s": round(dark)}
 	}
-	near := float64(o.Near) / max(float64(o.Sent), 1)
-	most := quiet[int(math.Ceil(0.95*float64(len(quiet))))-1]
-	dark := span(exp.Faults[0].For)
-	v.must(most < dark, "95%% of the fleet sent into the dark room until %v, the whole darkness", most)
-	v.must(near >= 0.95, "%.3f of new attempts stayed in their balancer's room while no room was dark, under 0.95", near)
-	v.Figures = map[string]any{"balancers": exp.Balancers, "lost": o.Lost, "doubled": o.Doubled, "two_in_flight": o.TwoInFlight,
-		"late_drains": o.LateDrains, "opens": o.Opens, "served": o.Served, "refused": o.Refused, "failed": o.Failed,
-		"near_share": round4(near), "quiet_median_s": round(quiet[len(quiet)/2]), "quiet_95_s": round(most),
-		"quiet_max_s": round(quiet[len(quiet)-1]), "dark_s": round(dark)}
 	return v, nil
 }
