--- a/internal/lab/sockets.go
+++ b/internal/lab/sockets.go
@@ -171,6 +171,17 @@
 			s.plan = exp.Plan
 		}
 	}
+	// Danger: a port let go at once may be handed out again to the next balancer; two of them on one port (seen: one's
+	// listener on another's admin port, its clients never answered) would be counted as lost OPENs. All are held until
+	// every balancer has its own, and each is let go just before its balancer binds it.
+	held := make([][]net.Listener, exp.Balancers)
+	defer func() {
+		for _, ls := range held {
+			for _, l := range ls {
+				_ = l.Close()
+			}
+		}
+	}()
 	for i := range exp.Balancers {
 		n := &node{name: fmt.Sprintf("n%d", i), room: exp.balancerRoom(i), told: map[string]time.Time{}}
 		for _, address := range []*string{&n.listen, &n.admin} {
@@ -178,13 +189,27 @@
 			if err != nil {
 				return nil, err
 			}
-			*address = l.Addr().String()
-			_ = l.Close()
+			*address, held[i] = l.Addr().String(), append(held[i], l)
 		}
 		if err := s.discovery(n); err != nil {
 			return nil, err
 		}
 		s.nodes = append(s.nodes, n)
+	}
+	seen := map[string]bool{}
+	for _, n := range s.nodes {
+		for _, address := range []string{n.listen, n.admin, n.discovery} {
+			if seen[address] {
+				return nil, fmt.Errorf("%s: one port for two ends", address)
+			}
+			seen[address] = true
+		}
+	}
+	for i, n := range s.nodes {
+		for _, l := range held[i] {
+			_ = l.Close()
+		}
+		held[i] = nil
 		if err := s.launch(n); err != nil {
 			return nil, err
 		}
