Lab: a frozen balancer (SIGSTOP) wakes with stale beliefs, in prove-failover at 30

Change: fault "freeze" { at, for, part } stops part of the balancers by SIGSTOP and goes on by SIGCONT. A frozen process still takes connections in the kernel, so clients keep picking it; an OPEN it could not answer while stopped (or sent before its wake) is told as came_again, and its client comes again through another, as from a killed one. lab/failover.hcl freezes a tenth of the 30 as the room goes dark.

TestADarkRoomOnSockets fails without the freeze.

--- a/internal/lab/client.go
+++ b/internal/lab/client.go
@@ -121,8 +121,11 @@
 	switch {
 	case s.ctx.Err() != nil || c.wasDropped():
 		return c.left > 0, c.gap()
-	case err != nil && c.nodeIsDown():
-		return true, c.gap() // a killed balancer's clients come again
+	case err != nil && (c.nodeIsDown() || c.thawedSince(began)):
+		s.mu.Lock()
+		s.audit.Again++
+		s.mu.Unlock()
+		return true, c.gap() // a killed or frozen balancer's clients come again
 	case err != nil:
 		s.audit.final(c, "none", took, mid)
 		return c.retry()
@@ -157,7 +160,14 @@
 func (c *client) nodeIsDown() bool {
 	c.lab.mu.Lock()
 	defer c.lab.mu.Unlock()
-	return c.node.down
+	return c.node.down || c.node.frozen
+}
+
+// thawedSince tells whether the client's balancer woke from a freeze after a moment.
+func (c *client) thawedSince(at time.Time) bool {
+	c.lab.mu.Lock()
+	defer c.lab.mu.Unlock()
+	return c.node.thawed.After(at)
 }
 
 // stand sends a line every 2 s and waits for its answer, until its time is over or the other side ends.
--- a/internal/lab/experiment.go
+++ b/internal/lab/experiment.go
@@ -47,7 +47,8 @@
 // heavy (a carrier's connections weigh size times as much), deploy (hosts drain, end and are replaced), discovery
 // (out of reach), drop (a share of a carrier's clients, or of all, drop and come again), drain (part of the hosts drain and leave; with a size they are replaced),
 // restart (one balancer, by SIGTERM and SIGKILL), dark (the hosts of a room vanish for a span: connections stay open and
-// nothing is answered, as TCP says nothing of a machine gone; discovery still lists them; they are back cold).
+// nothing is answered, as TCP says nothing of a machine gone; discovery still lists them; they are back cold), freeze
+// (part of the balancers stopped by SIGSTOP for a span, then go on with stale beliefs).
 type Fault struct {
 	Kind    string  `hcl:"kind,label"`
 	At      string  `hcl:"at"`
@@ -94,7 +95,7 @@
 	{"brecon-air", 0.08}, {"conwy-hop", 0.08}, {"ynys-air", 0.07}}
 
 var kinds = map[string]bool{"crash": true, "errors": true, "hot-key": true, "heavy": true, "deploy": true, "discovery": true,
-	"drop": true, "drain": true, "restart": true, "dark": true}
+	"drop": true, "drain": true, "restart": true, "dark": true, "freeze": true}
 
 // Load reads an experiment and the operator's file that it names.
 func Load(path string) (*Experiment, error) {
@@ -161,7 +162,7 @@
 // InVirtualTime tells what speaks against playing it there: balancers and discovery have no process to end.
 func (e *Experiment) InVirtualTime() error {
 	for _, f := range e.Faults {
-		if f.Kind == "restart" || f.Kind == "discovery" || f.Kind == "dark" {
+		if f.Kind == "restart" || f.Kind == "discovery" || f.Kind == "dark" || f.Kind == "freeze" {
 			return fmt.Errorf("fault %q is played on sockets only", f.Kind)
 		}
 	}
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -156,20 +156,22 @@
 	assert.Zero(t, after.Lost+after.Doubled+after.Foreign)
 }
 
-// A dark room holds what comes and answers nothing; each balancer's last attempt into it is told, and every OPEN
-// still has one answer.
+// A dark room holds what comes and answers nothing; each balancer's last attempt into it is told; a frozen balancer's
+// clients come again through the other; every OPEN still has one answer.
 func TestADarkRoomOnSockets(t *testing.T) {
 	folder := t.TempDir()
 	binary := filepath.Join(folder, "tealtiller")
 	out, err := exec.Command("go", "build", "-o", binary, "tealtiller/cmd/tealtiller").CombinedOutput()
 	require.NoError(t, err, string(out))
 	e := &Experiment{Duration: "6s", Balancers: 2, Hosts: 6, PerCore: 300, Opens: 30, Life: "3s", Flights: 4, Settle: "0s", Pause: "2s",
-		Skew: 0.5, Dir: "../../lab", Faults: []Fault{{Kind: "dark", At: "1s", For: "2s", Part: 1, Room: "llandaff"}}}
+		Skew: 0.5, Dir: "../../lab", Faults: []Fault{{Kind: "dark", At: "1s", For: "2s", Part: 1, Room: "llandaff"},
+			{Kind: "freeze", At: "1s", For: "2s", Part: 0.5}}}
 	s, err := NewSockets(e, 1, false, binary, folder)
 	require.NoError(t, err)
 	defer s.Close()
 	o := s.Run()
 	assert.Len(t, o.Quiet, 2)
+	assert.Positive(t, o.Again, "the frozen balancer's clients came again")
 	assert.Equal(t, [4]int{}, [4]int{o.Lost, o.Doubled, o.TwoInFlight, o.Crashed})
 	assert.Greater(t, o.Sent, 0)
 	assert.LessOrEqual(t, o.Near, o.Sent)
--- a/internal/lab/prove.go
+++ b/internal/lab/prove.go
@@ -256,7 +256,7 @@
 		v.must(near >= 0.95, "%s: %.3f of new attempts stayed in their balancer's room while no room was dark, under 0.95", run, near)
 		v.Figures["balancers_"+run] = map[string]any{"lost": o.Lost, "doubled": o.Doubled, "two_in_flight": o.TwoInFlight,
 			"late_drains": o.LateDrains, "opens": o.Opens, "served": o.Served, "refused": o.Refused, "failed": o.Failed,
-			"near_share": round4(near), "quiet_median_s": round(quiet[len(quiet)/2]), "quiet_95_s": round(most),
+			"came_again": o.Again, "near_share": round4(near), "quiet_median_s": round(quiet[len(quiet)/2]), "quiet_95_s": round(most),
 			"quiet_max_s": round(quiet[len(quiet)-1]), "dark_s": round(dark)}
 	}
 	return v, nil
--- a/internal/lab/sockets.go
+++ b/internal/lab/sockets.go
@@ -73,6 +73,8 @@
 	listen, admin, discovery string
 	cmd                      *exec.Cmd
 	down                     bool
+	frozen                   bool                 // stopped: the kernel still takes connections, so clients keep coming
+	thawed                   time.Time            // its last wake: what was sent before it, it could not answer in time
 	told                     map[string]time.Time // drains, by desk host
 	done                     chan error
 	log                      *os.File
@@ -93,6 +95,7 @@
 	Followed                       int             // of them told to clients that stood in a cell that their flight had left
 	MovedTwice                     int             // clients to which that happened more than once
 	Crashed                        int             // balancers that ended by themselves
+	Again                          int             // OPENs unanswered by a balancer that was down or frozen, whose clients came again
 	Near, Sent                     int             // new attempts to a host in the balancer's own room, and all, while no room was dark
 	Quiet                          []time.Duration // by balancer: its last new attempt into a dark room, after it went dark
 	Worth                          Worth           // seconds are lines here
@@ -841,6 +844,21 @@
 		s.mu.Unlock()
 	case "restart":
 		s.restart(s.nodes[len(s.nodes)-1])
+	case "freeze": // part of the balancers stop (SIGSTOP) and go on (SIGCONT) with what they believed
+		frozen := s.nodes[:int(math.Ceil(f.Part*float64(len(s.nodes))-1e-9))]
+		for _, n := range frozen {
+			s.mu.Lock()
+			n.frozen = true
+			s.mu.Unlock()
+			_ = n.cmd.Process.Signal(syscall.SIGSTOP)
+		}
+		s.sleep(until)
+		for _, n := range frozen {
+			_ = n.cmd.Process.Signal(syscall.SIGCONT)
+			s.mu.Lock()
+			n.frozen, n.thawed = false, time.Now()
+			s.mu.Unlock()
+		}
 	case "dark":
 		s.mu.Lock()
 		s.darkRoom, s.darkAt, s.lastDark = f.Room, time.Now(), map[*node]time.Duration{}
--- a/lab/failover.hcl
+++ b/lab/failover.hcl
@@ -16,3 +16,10 @@
   part = 1
   room = "llandaff"
 }
+
+# A tenth of the balancers freeze as the room goes dark and wake 5 s later with what they believed then.
+fault "freeze" {
+  at   = "12s"
+  for  = "5s"
+  part = 0.1
+}
