Lab: a room cut one way, whose hosts set up what comes and whose answers are lost

Change: fault "one-way" { at, for, part, room } is dark with the hosts taking and setting up what comes (UP, BUSY and ERR are lost on the way); what was set up stands until the balancer lets go. The auditor counts such set-ups as Unheard. Back cold at the end, as dark.

--- a/internal/lab/experiment.go
+++ b/internal/lab/experiment.go
@@ -48,7 +48,8 @@
 // (out of reach), drop (a share of a carrier's clients, or of all, drop and come again), drain (part of the hosts drain and leave; with a size they are replaced),
 // restart (one balancer, by SIGTERM and SIGKILL), dark (the hosts of a room vanish for a span: connections stay open and
 // nothing is answered, as TCP says nothing of a machine gone; discovery still lists them; they are back cold), freeze
-// (part of the balancers stopped by SIGSTOP for a span, then go on with stale beliefs).
+// (part of the balancers stopped by SIGSTOP for a span, then go on with stale beliefs), one-way (as dark, but the hosts
+// take what comes and set it up; only their answers are lost).
 type Fault struct {
 	Kind    string  `hcl:"kind,label"`
 	At      string  `hcl:"at"`
@@ -95,7 +96,7 @@
 	{"brecon-air", 0.08}, {"conwy-hop", 0.08}, {"ynys-air", 0.07}}
 
 var kinds = map[string]bool{"crash": true, "errors": true, "hot-key": true, "heavy": true, "deploy": true, "discovery": true,
-	"drop": true, "drain": true, "restart": true, "dark": true, "freeze": true}
+	"drop": true, "drain": true, "restart": true, "dark": true, "freeze": true, "one-way": true}
 
 // Load reads an experiment and the operator's file that it names.
 func Load(path string) (*Experiment, error) {
@@ -162,7 +163,7 @@
 // InVirtualTime tells what speaks against playing it there: balancers and discovery have no process to end.
 func (e *Experiment) InVirtualTime() error {
 	for _, f := range e.Faults {
-		if f.Kind == "restart" || f.Kind == "discovery" || f.Kind == "dark" || f.Kind == "freeze" {
+		if f.Kind == "restart" || f.Kind == "discovery" || f.Kind == "dark" || f.Kind == "freeze" || f.Kind == "one-way" {
 			return fmt.Errorf("fault %q is played on sockets only", f.Kind)
 		}
 	}
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -157,7 +157,8 @@
 }
 
 // A dark room holds what comes and answers nothing; each balancer's last attempt into it is told; a frozen balancer's
-// clients come again through the other; every OPEN still has one answer.
+// clients come again through the other; a room cut one way sets up what comes and its answers are lost; every OPEN
+// still has one answer.
 func TestADarkRoomOnSockets(t *testing.T) {
 	folder := t.TempDir()
 	binary := filepath.Join(folder, "tealtiller")
@@ -165,12 +166,13 @@
 	require.NoError(t, err, string(out))
 	e := &Experiment{Duration: "6s", Balancers: 2, Hosts: 6, PerCore: 300, Opens: 30, Life: "3s", Flights: 4, Settle: "0s", Pause: "2s",
 		Skew: 0.5, Dir: "../../lab", Faults: []Fault{{Kind: "dark", At: "1s", For: "2s", Part: 1, Room: "llandaff"},
-			{Kind: "freeze", At: "1s", For: "2s", Part: 0.5}}}
+			{Kind: "freeze", At: "1s", For: "2s", Part: 0.5}, {Kind: "one-way", At: "3500ms", For: "1500ms", Part: 1, Room: "treforest"}}}
 	s, err := NewSockets(e, 1, false, binary, folder)
 	require.NoError(t, err)
 	defer s.Close()
 	o := s.Run()
-	assert.Len(t, o.Quiet, 2)
+	assert.Len(t, o.Quiet, 4, "each balancer told once for each darkness")
+	assert.Positive(t, o.Unheard, "hosts cut one way set up what came")
 	assert.Positive(t, o.Again, "the frozen balancer's clients came again")
 	assert.Equal(t, [4]int{}, [4]int{o.Lost, o.Doubled, o.TwoInFlight, o.Crashed})
 	assert.Greater(t, o.Sent, 0)
--- a/internal/lab/sockets.go
+++ b/internal/lab/sockets.go
@@ -95,6 +95,7 @@
 	Followed                       int             // of them told to clients that stood in a cell that their flight had left
 	MovedTwice                     int             // clients to which that happened more than once
 	Crashed                        int             // balancers that ended by themselves
+	Unheard                        int             // set-ups taken by a host cut one way, whose UP was lost
 	Again                          int             // OPENs unanswered by a balancer that was down or frozen, whose clients came again
 	Near, Sent                     int             // new attempts to a host in the balancer's own room, and all, while no room was dark
 	Quiet                          []time.Duration // by balancer: its last new attempt into a dark room, after it went dark
@@ -516,6 +517,7 @@
 	held    map[string]*desk // what stands, by the client's id
 	conns   map[net.Conn]bool
 	dark    bool // gone without a word: what comes is read and never answered
+	takes   bool // with dark, a link cut one way: what comes is taken and set up, its answers are lost
 }
 
 // desk is a connection that stands. Its packets may stop coming and go on through another balancer.
@@ -571,7 +573,7 @@
 func (h *standIn) light() {
 	h.lab.mu.Lock()
 	defer h.lab.mu.Unlock()
-	h.dark = false
+	h.dark, h.takes = false, false
 	for c := range h.conns {
 		reset(c)
 	}
@@ -648,7 +650,7 @@
 	s.mu.Lock()
 	now := s.now()
 	attempt := s.audit.attempt(s, h, id, fields["t"], group, fields["mid"] == "1")
-	if h.dark {
+	if h.dark && !h.takes {
 		s.mu.Unlock()
 		_, _ = io.Copy(io.Discard, r)
 		s.mu.Lock()
@@ -686,13 +688,25 @@
 	answer := h.Open(s.now(), load, group, s.rng.Float64())
 	s.audit.attemptEnds(id, attempt)
 	if answer != Taken {
+		lost := h.dark
 		s.mu.Unlock()
+		if lost {
+			_, _ = io.Copy(io.Discard, r)
+			return
+		}
 		_, _ = io.WriteString(c, map[Answer]string{Full: "BUSY\r\n", Fails: "ERR\r\n"}[answer])
 		return
 	}
 	d := &desk{load: load, group: group, conn: c}
 	h.held[id] = d
+	unheard := h.dark
+	s.audit.Unheard += b2i(unheard)
 	s.mu.Unlock()
+	if unheard { // the answer is lost on its way; what was set up stands until the balancer lets go
+		_, _ = io.Copy(io.Discard, r)
+		h.close(id, d, c)
+		return
+	}
 	if _, err := io.WriteString(c, "UP "+id+"\r\n"); err != nil {
 		h.close(id, d, c)
 		return
@@ -859,11 +873,11 @@
 			n.frozen, n.thawed = false, time.Now()
 			s.mu.Unlock()
 		}
-	case "dark":
+	case "dark", "one-way":
 		s.mu.Lock()
 		s.darkRoom, s.darkAt, s.lastDark = f.Room, time.Now(), map[*node]time.Duration{}
 		for _, spec := range hit {
-			s.hosts[spec.ID].dark = true
+			s.hosts[spec.ID].dark, s.hosts[spec.ID].takes = true, f.Kind == "one-way"
 		}
 		s.mu.Unlock()
 		if !s.sleep(until) {
