--- a/internal/net/front.go
+++ b/internal/net/front.go
@@ -61,33 +61,6 @@
 	return gnet.None
 }
 
-// mostSilent is how long a front socket may go without a whole command, from when it came or was last answered.
-// Danger: those that open by the hundred and say nothing, or drip, would keep the descriptors that clients need.
-// They are owed an answer within 3 s. A true client may take 2 s to write its line.
-const mostSilent = 2600 * time.Millisecond
-
-// idler tells whether a front socket is to go before another one.
-func (f *front) idler(other *front) bool {
-	if mid, others := f.buffered() > 0, other.buffered() > 0; mid != others {
-		return others
-	}
-	return f.since < other.since
-}
-
-// silent gives the client so long to say something; then it is told a last line, if any, and closed.
-func (f *front) silent(now, most time.Duration, last string) {
-	f.node.deadlines.Stop(f.limit)
-	f.since = now
-	f.limit = f.node.deadlines.Set(now+most, func(time.Duration) {
-		if last != "" {
-			f.node.count.Add("front sockets closed: silent")
-			f.ending = true
-			f.say(last)
-		}
-		f.node.end(f.conn, false)
-	})
-}
-
 // atOnce is how many commands a client may send before it has read the answers.
 const atOnce = 16
 
@@ -218,100 +191,6 @@
 	return q
 }
 
-// say writes a line of our own.
-func (f *front) say(text string) { f.node.write(f.conn, []byte(text)) }
-
-// malformed answers what makes no sense with one error line.
-func (f *front) malformed(now time.Duration, err error) {
-	f.node.count.Add("lines refused: malformed")
-	f.answer(now, "ERR "+err.Error()+"\r\n")
-}
-
-// answer says the last line to the client.
-func (f *front) answer(now time.Duration, text string) {
-	f.say(text)
-	f.finish(now)
-}
-
-const lingering = time.Second
-
-// finish ends our sending; the client's end closes the socket. Danger: closing at once, with a line of the
-// client's unread, would reset the connection, and our last line might never be seen.
-func (f *front) finish(now time.Duration) {
-	f.ending = true
-	if f.conn == nil || f.linger {
-		return
-	}
-	f.linger = true
-	if f.conn.OutboundBuffered() > 0 || syscall.Shutdown(f.conn.Fd(), syscall.SHUT_WR) != nil {
-		f.node.end(f.conn, false)
-		return
-	}
-	f.silent(now, lingering, "")
-}
-
-// relay passes whole lines on to the desk host once the connection stands.
-func (f *front) relay(now time.Duration) {
-	d := f.desk
-	if d != nil && d.up && d.conn == nil {
-		return // its socket is on its way here
-	}
-	buf := f.peek()
-	if d == nil || !d.up {
-		if err := early(buf, f.node.buffered()); err != nil {
-			f.malformed(now, err)
-			f.node.table.Spoilt(now, f.op)
-		}
-		return
-	}
-	end := 0
-	for end < len(buf) {
-		text, err := line.Cut(buf[end:])
-		if err != nil {
-			f.malformed(now, err)
-			d.close(now, false, policy.Cancelled)
-			return
-		}
-		if len(text) == 0 {
-			break
-		}
-		end += len(text)
-		f.node.count.Add("lines from clients")
-	}
-	if end == 0 {
-		return
-	}
-	d.asked(now)
-	f.node.write(d.conn, buf[:end])
-	if f.conn != nil {
-		f.discard(end)
-	}
-}
-
-// early tells what is wrong with what a client sends before it has its answer. Most wait; a command cannot.
-func early(buf []byte, most int) error {
-	text, err := line.Cut(buf)
-	if err != nil {
-		return err
-	}
-	if kind, _ := line.Parse(text); kind.Command() {
-		return errors.New("a command before the answer to OPEN")
-	}
-	if len(buf) > most {
-		return errors.New("too much before the answer to OPEN")
-	}
-	return nil
-}
-
-// pass hands lines of the desk host to the client.
-func (f *front) pass(now time.Duration, lines []byte) {
-	if f.half == nil {
-		f.node.write(f.conn, lines)
-	} else if !f.half.write(lines) {
-		f.desk.close(now, true, policy.Cancelled)
-	}
-}
-
 func (f *front) detach(reset bool) {
 	if !reset && !f.ending && f.desk != nil && f.desk.up {
 		f.half = newHalf(f.node, f.conn)
--- /dev/null
+++ b/internal/operation/attempt.go
@@ -0,0 +1,60 @@
+package operation
+
+import (
+	"time"
+
+	"tealtiller/policy"
+)
+
+func (t *Table) begin(op *operation, server string, timeout time.Duration) {
+	until := t.now + timeout
+	op.out = true
+	t.count.Add("route steps sent")
+	op.until = t.deadlines.Set(until, func(now time.Duration) { t.overdue(now, op) })
+	if err := t.carrier.Begin(op.owner, server, until); err != nil {
+		t.queue = append(t.queue, func(time.Duration) { t.ended(op, policy.ConnectFailed) })
+	}
+}
+
+// overdue gives up a route step that has not brought up the connection in its time.
+func (t *Table) overdue(now time.Duration, op *operation) {
+	if !op.out || op.stands {
+		return
+	}
+	t.now = now
+	result := policy.ConnectFailed // not sent yet: it cannot have run
+	if t.carrier.Abandon(op.owner) {
+		result = policy.Timeout
+	}
+	t.ended(op, result)
+	t.settle()
+}
+
+// Results are the names of how route steps and connections end.
+var Results = map[policy.Result]string{policy.OK: "ok", policy.Error: "error", policy.TurnedAway: "busy",
+	policy.Timeout: "timeout", policy.ConnectFailed: "connect failed", policy.Reset: "reset",
+	policy.Cancelled: "cancelled", policy.Moot: "moot"}
+
+// ended tells the module the one outcome of a route step.
+func (t *Table) ended(op *operation, result policy.Result) {
+	if !op.out {
+		return
+	}
+	t.deadlines.Stop(op.until)
+	op.out = false
+	if op.stands {
+		t.count.Add("connections ended: " + Results[result])
+	} else {
+		t.count.Add("route steps ended: " + Results[result])
+	}
+	over := op.answered || result == policy.OK
+	if !over && op.handed { // no other desk host can go on with it
+		over = true
+		t.answered(op, failed)
+		t.carrier.Failed(op.owner)
+	}
+	if over {
+		t.remove(op)
+	}
+	t.module.Outcome(t.now, op.name, result, over)
+}
--- a/internal/operation/operation.go
+++ b/internal/operation/operation.go
@@ -101,44 +101,6 @@
 // Ends counts the final answers by class, also of classes that are no longer in use.
 func (t *Table) Ends() map[string]counters.Ends { return maps.Clone(t.ends) }
 
-type final int
-
-const (
-	completed final = iota
-	rejected
-	failed
-)
-
-// answered notes the one final answer of an operation; all come by here, so that each is counted once.
-func (t *Table) answered(op *operation, how final) {
-	op.answered = true
-	t.counted(op.class, how)
-}
-
-func (t *Table) counted(class string, how final) {
-	e := t.ends[class]
-	switch how {
-	case completed:
-		e.Completed++
-	case rejected:
-		e.Rejected++
-	case failed:
-		e.Failed++
-	}
-	t.ends[class] = e
-}
-
-// Refused tells that the carrier refused a client's request which it did not give in.
-func (t *Table) Refused(class string) { t.counted(class, rejected) }
-
-// Unknown tells that a client asked for a class that the settings do not name. Where they did once, it counts:
-// the client learned of the change by failing.
-func (t *Table) Unknown(class string) {
-	if _, ok := t.ends[class]; ok {
-		t.counted(class, failed)
-	}
-}
-
 // Listed is how many servers the list names, and how many of them the module avoids now.
 func (t *Table) Listed(now time.Duration) (listed, avoided int) { return t.module.Listed(now) }
 
@@ -188,39 +150,6 @@
 	return op.id
 }
 
-// Hand takes a connection that stands at a desk host already; its first route step goes there.
-func (t *Table) Hand(now time.Duration, owner slot.ID, q policy.Request, server string) slot.ID {
-	op := t.add(owner, q)
-	q.ID, t.now, op.handed = op.name, now, true
-	t.module.Open(now, q, server)
-	t.begin(op, server, q.TTL)
-	t.settle()
-	return op.id
-}
-
-// Inherit takes over a connection that stands, which another process of this balancer has brought up.
-func (t *Table) Inherit(now time.Duration, owner slot.ID, q policy.Request, server string) slot.ID {
-	op := t.add(owner, q)
-	q.ID, t.now = op.name, now
-	op.out, op.stands, op.answered = true, true, true // answered, and counted, there
-	t.module.Open(now, q, server)
-	t.settle()
-	return op.id
-}
-
-// Release tells that another process of this balancer goes on with a connection that stands.
-func (t *Table) Release(now time.Duration, id slot.ID) {
-	if op, ok := t.ops.Get(id); ok && op.stands && op.out {
-		t.now, op.out = now, false
-		t.remove(op)
-		t.module.Outcome(now, op.name, policy.Cancelled, true)
-		t.settle()
-	}
-}
-
-// Succeed tells that this process takes over from another one of this balancer.
-func (t *Table) Succeed(now time.Duration) { t.module.Succeed(now) }
-
 // Up tells that the route step has brought up the connection.
 func (t *Table) Up(now time.Duration, id slot.ID) {
 	op, ok := t.ops.Get(id)
@@ -314,121 +243,8 @@
 	}
 }
 
-func (t *Table) begin(op *operation, server string, timeout time.Duration) {
-	until := t.now + timeout
-	op.out = true
-	t.count.Add("route steps sent")
-	op.until = t.deadlines.Set(until, func(now time.Duration) { t.overdue(now, op) })
-	if err := t.carrier.Begin(op.owner, server, until); err != nil {
-		t.queue = append(t.queue, func(time.Duration) { t.ended(op, policy.ConnectFailed) })
-	}
-}
-
-// overdue gives up a route step that has not brought up the connection in its time.
-func (t *Table) overdue(now time.Duration, op *operation) {
-	if !op.out || op.stands {
-		return
-	}
-	t.now = now
-	result := policy.ConnectFailed // not sent yet: it cannot have run
-	if t.carrier.Abandon(op.owner) {
-		result = policy.Timeout
-	}
-	t.ended(op, result)
-	t.settle()
-}
-
-// Results are the names of how route steps and connections end.
-var Results = map[policy.Result]string{policy.OK: "ok", policy.Error: "error", policy.TurnedAway: "busy",
-	policy.Timeout: "timeout", policy.ConnectFailed: "connect failed", policy.Reset: "reset",
-	policy.Cancelled: "cancelled", policy.Moot: "moot"}
-
-// ended tells the module the one outcome of a route step.
-func (t *Table) ended(op *operation, result policy.Result) {
-	if !op.out {
-		return
-	}
-	t.deadlines.Stop(op.until)
-	op.out = false
-	if op.stands {
-		t.count.Add("connections ended: " + Results[result])
-	} else {
-		t.count.Add("route steps ended: " + Results[result])
-	}
-	over := op.answered || result == policy.OK
-	if !over && op.handed { // no other desk host can go on with it
-		over = true
-		t.answered(op, failed)
-		t.carrier.Failed(op.owner)
-	}
-	if over {
-		t.remove(op)
-	}
-	t.module.Outcome(t.now, op.name, result, over)
-}
-
 func (t *Table) remove(op *operation) {
 	t.deadlines.Stop(op.until)
 	t.ops.Remove(op.id)
 	delete(t.open, op.client)
 }
-
-// host carries out the module's actions. Its methods do not call the module.
-type host struct{ *Table }
-
-func (h host) Send(request, server string, timeout time.Duration) {
-	op := h.find(request)
-	if op == nil || op.out || op.answered {
-		// Danger: two attempts in flight. The module is owed an outcome all the same.
-		h.queue = append(h.queue, func(now time.Duration) {
-			h.module.Outcome(now, request, policy.Moot, op == nil || op.answered)
-		})
-		return
-	}
-	h.begin(op, server, timeout)
-}
-
-func (h host) Refuse(request string, retryAfter time.Duration) {
-	h.answer(request, rejected, func(op *operation) { h.carrier.Busy(op.owner, retryAfter) })
-}
-
-func (h host) Fail(request string) {
-	h.answer(request, failed, func(op *operation) { h.carrier.Failed(op.owner) })
-}
-
-func (h host) answer(request string, how final, say func(*operation)) {
-	if op := h.find(request); op != nil && !op.answered {
-		h.answered(op, how)
-		say(op)
-		if !op.out {
-			h.remove(op)
-		}
-	}
-}
-
-func (h host) Move(request string) {
-	op := h.find(request)
-	if op == nil || !op.stands || !op.out {
-		return
-	}
-	h.carrier.Move(op.owner)
-	h.queue = append(h.queue, func(time.Duration) { h.ended(op, policy.Cancelled) })
-}
-
-// Tell has nobody to tell: these balancers have no way to talk to each other.
-func (h host) Tell(uint32, time.Duration) {}
-
-// Ask has the carrier ask a server for a report.
-func (h host) Ask(server string) { h.carrier.Ask(server) }
-
-func (h host) Wake(at time.Duration, name int64) {
-	h.deadlines.Set(at, func(now time.Duration) {
-		h.now = now
-		h.module.Wake(now, name)
-		h.settle()
-	})
-}
-
-func (h host) Watch(on bool) { h.carrier.Watch(on) }
-
-func (h host) Log(text string) { h.carrier.Log(text) }
