A deadline that is stopped while Run has put it off stays stopped

Cause: Queue.Run takes what was set meanwhile for now out of the heap and puts it back at its end; Stop looked for it in the heap only (deadline.go, Stop and the last loop of Run), so one stopped by another that fell due with it was called later. Change: a stopped deadline is marked and not put back.

--- a/internal/deadline/deadline.go
+++ b/internal/deadline/deadline.go
@@ -18,6 +18,7 @@
 	at    time.Duration
 	order uint64
 	index int // in the heap; -1 once out of it
+	ended bool
 	due   func(now time.Duration)
 }
 
@@ -31,7 +32,10 @@
 
 // Stop takes a deadline out, if it is still in; nil is none.
 func (q *Queue) Stop(d *Deadline) {
-	if d != nil && d.index >= 0 {
+	if d == nil {
+		return
+	}
+	if d.ended = true; d.index >= 0 {
 		heap.Remove(&q.heap, d.index)
 	}
 }
@@ -58,7 +62,9 @@
 		d.due(now)
 	}
 	for _, d := range later {
-		heap.Push(&q.heap, d)
+		if !d.ended { // danger: stopped by what was due meanwhile, while it was out of the heap
+			heap.Push(&q.heap, d)
+		}
 	}
 }
 
--- a/internal/deadline/deadline_test.go
+++ b/internal/deadline/deadline_test.go
@@ -46,3 +46,17 @@
 	q.Run(1)
 	assert.Equal(t, 2, runs)
 }
+
+// What is set for now while others fall due, and stopped by one of them, is not called by a later Run.
+func TestStoppedWhilePutOff(t *testing.T) {
+	var q Queue
+	var fresh *Deadline
+	q.Set(1, func(now time.Duration) {
+		fresh = q.Set(now-1, func(time.Duration) { t.Error("it was stopped") })
+	})
+	q.Set(1, func(time.Duration) { q.Stop(fresh) })
+	q.Run(1)
+	q.Run(2)
+	_, ok := q.Next()
+	assert.False(t, ok)
+}
