One gate before an attempt's bytes, and one way to close a client's side

Cause, by reading: an attempt was judged when it was decided and written up to 1.5 s later (desk.opened), so a drain told meanwhile, a repeat window that ran out or a client that had left did not stop it. front.silent, Node.room and the end of the process closed client sockets at once: a request that lay unread was reset (closing.go, room.go, drain.leave). Half a line of a request and what was owed at the latest moment were dropped at the end. A failed write has gnet end a connection with the peer's last lines unread (loop.OnClose, desk.detach). A further attempt without a descriptor struck its desk host.

Change: policy.Allows, asked just before the first line is written; a hang-up is looked for in the kernel before a dial and before the write; conclude reads what lies unread and serves a request in it, then the last line, our end, the client's end or 1 s. The end of a balancer closes the door to new connections, tells those who rest, waits for half a line and answers what is owed. Room is made by the same way; while the module is at work (spare) only by sockets without unread bytes.

--- a/internal/net/desk.go
+++ b/internal/net/desk.go
@@ -39,8 +39,15 @@
 // begin dials a desk host off the loop and sends it the client's first line.
 func (n *Node) begin(f *front, server string, until time.Duration) error {
 	address, ok := n.addresses[server]
-	if !ok {
+	switch {
+	case !ok:
 		return errors.New("no address of " + server)
+	case f.hungUp(): // the loop is about to hear of it, and ends the operation
+		n.count.Add("route steps not begun: client gone")
+		return nil
+	case !n.spare(2): // danger: a dial without a descriptor would look like an ill desk host
+		n.count.Add("route steps not begun: no descriptors")
+		return operation.ErrNoRoom
 	}
 	d := &desk{node: n, front: f, server: server, until: until, last: policy.Reset}
 	d.id = n.desks.Add(d)
@@ -62,8 +69,7 @@
 func (n *Node) dial(ctx context.Context, s socket, address string) {
 	n.dialling++
 	go func() {
-		dialer := stdnet.Dialer{KeepAlive: -1}
-		c, err := dialer.DialContext(ctx, "tcp", address)
+		c, err := n.connect(ctx, "tcp", address)
 		if err == nil {
 			err = n.enroll(s, c)
 		}
@@ -110,6 +116,11 @@
 		d.front.traffic(now)
 		return gnet.None
 	}
+	if result, ok := d.writable(now); !ok {
+		d.conn = nil // gnet closes it after this
+		d.close(now, false, result)
+		return gnet.Close
+	}
 	d.sent = true
 	d.node.trace("step-sent", "host", d.server, "id", d.front.opening.ID)
 	d.node.write(c, d.front.opening.Forward(d.until-now)) // whole: a line fits a new connection's buffer
@@ -119,11 +130,27 @@
 	return gnet.None
 }
 
+// writable is asked just before the first line is written, as the connection took its time to come up; else it tells what
+// came of the route step.
+func (d *desk) writable(now time.Duration) (result policy.Result, ok bool) {
+	switch {
+	case now >= d.until: // its deadline is due, and has not run yet
+		return policy.ConnectFailed, false
+	case d.front.hungUp():
+		d.node.count.Add("route steps not written: client gone")
+	case !d.node.table.Allows(now, d.front.op):
+		d.node.count.Add("route steps not written: no longer allowed")
+	default:
+		return 0, true
+	}
+	return policy.Moot, false
+}
+
 // traffic reads what the desk host answers, and passes on whole lines once the connection stands.
 func (d *desk) traffic(now time.Duration) {
 	d.byteAt = now
 	d.node.delays.of(d.server).heardAt = now
-	for d.conn != nil && !d.over {
+	for d.buffered() > 0 && !d.over {
 		buf := d.peek()
 		text, err := line.Cut(buf)
 		if err != nil {
@@ -139,7 +166,7 @@
 			return
 		}
 		d.answered(now, text)
-		if d.conn != nil {
+		if !d.over {
 			d.discard(len(text))
 		}
 	}
@@ -204,10 +231,19 @@
 	}
 }
 
-func (d *desk) detach(bool) { d.conn = nil }
+func (d *desk) detach(bool) {
+	if d.over {
+		d.conn = nil
+		return
+	}
+	d.end()
+}
 
 // closed takes the end of the connection, or that it never came up.
 func (d *desk) closed(now time.Duration, reset bool) {
+	if !d.over && d.buffered() > 0 { // its last lines, if a write failed before they were read
+		d.traffic(now)
+	}
 	if d.over {
 		return
 	}
--- a/internal/net/drain.go
+++ b/internal/net/drain.go
@@ -1,6 +1,11 @@
 package net
 
-import "time"
+import (
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
 
 // settled is how long no OPEN must have come before a draining node stops; clients keep coming for up to
 // 0.4 s after the signal.
@@ -41,15 +46,86 @@
 			}
 		}
 	}
-	answered := n.table.Owed() == 0 && now-n.lastOpen >= settled
-	if n.cfg.Settings.PassThrough && answered && n.table.Len() == 0 ||
-		!n.cfg.Settings.PassThrough && (answered || now >= latest) {
+	answered := n.table.Owed() == 0 && now-n.lastOpen >= settled && !n.midLine()
+	if done := n.cfg.Settings.PassThrough && answered && n.table.Len() == 0 ||
+		!n.cfg.Settings.PassThrough && (answered || now >= latest); !done {
+		n.reopen()
+	} else if n.parted(now, latest) {
 		n.leave()
 		return
 	}
 	n.deadlines.Set(now+drainCheck, func(now time.Duration) { n.drained(now, latest) })
 }
 
+// midLine tells whether a client is in the midst of its first line: a request that comes in pieces is still coming.
+func (n *Node) midLine() bool {
+	for _, f := range n.fronts.All() {
+		if f.conn != nil && !f.taken && !f.ending && f.buffered() > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// lastGoodbye is how long those that are told to go have at the end, to read so and to close their side.
+const lastGoodbye = 300 * time.Millisecond
+
+// parted closes the door, then the side of each client that rests, and tells whether all have gone or had their time.
+//
+// Danger: the end of the process resets what is unread and what waits to be accepted. A request may come on a resting
+// connection, or a client connect, in that very moment: so no new connection begins any more, those that have begun are
+// accepted, and what lies unread is read, before the listener ends.
+func (n *Node) parted(now, latest time.Duration) bool {
+	if n.parting == 0 {
+		n.parting, n.partedBy = now, now+lastGoodbye
+		if !n.cfg.Settings.PassThrough { // who is killed soon after has no more time
+			n.partedBy = min(n.partedBy, latest+3*drainCheck)
+		}
+		n.door(false)
+	}
+	for _, f := range n.fronts.All() {
+		f.conclude(now, n.busyLine(0))
+	}
+	if n.table.Owed() > 0 && now < n.partedBy { // a request lay there
+		return false
+	}
+	waits := now-n.parting < drainCheck || n.fronts.Len() > 0
+	return now >= n.partedBy || !waits && n.shut()
+}
+
+// reopen lets connections begin again: a request was read at the last moment, and what comes of it is carried on.
+func (n *Node) reopen() {
+	if n.parting > 0 {
+		n.parting = 0
+		n.door(true)
+	}
+}
+
+// door lets connections begin at our listener, or none: a first packet that asks for one is then dropped, and its sender,
+// who asks again after a second, finds nobody. Packets of those that have begun pass. Where the system refuses that, what
+// remains is to look at the queue.
+func (n *Node) door(open bool) {
+	fd, err := n.engine.DupListener("tcp", n.cfg.Listen)
+	if err != nil {
+		return
+	}
+	defer syscall.Close(fd)
+	if open {
+		_ = unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_DETACH_FILTER, 0)
+		return
+	}
+	const flags, syn, ack = 13, 2, 16 // the byte of a TCP header, and two of its bits
+	filter := []unix.SockFilter{
+		{Code: unix.BPF_LD | unix.BPF_B | unix.BPF_ABS, K: flags},
+		{Code: unix.BPF_ALU | unix.BPF_AND | unix.BPF_K, K: syn | ack},
+		{Code: unix.BPF_JMP | unix.BPF_JEQ | unix.BPF_K, Jf: 1, K: syn},
+		{Code: unix.BPF_RET | unix.BPF_K, K: 0},
+		{Code: unix.BPF_RET | unix.BPF_K, K: 1 << 18},
+	}
+	_ = unix.SetsockoptSockFprog(fd, unix.SOL_SOCKET, unix.SO_ATTACH_FILTER,
+		&unix.SockFprog{Len: uint16(len(filter)), Filter: &filter[0]})
+}
+
 // gone tells that the process is ending.
 func (n *Node) gone() bool {
 	select {
@@ -60,8 +136,15 @@
 	}
 }
 
-// leave ends the process.
+// leave ends the process. Danger: an operation that is still owed its answer at the latest moment would end without one.
 func (n *Node) leave() {
+	for _, f := range n.fronts.All() {
+		if f.conn != nil && f.taken && !f.ending && (f.desk == nil || !f.desk.up) {
+			n.count.Add("operations answered: failed, at the end")
+			f.answer(n.now(), "ERR\r\n")
+		}
+		f.release()
+	}
 	n.report()
 	if n.last = n.link; n.last != nil {
 		n.last.close()
--- a/internal/net/front.go
+++ b/internal/net/front.go
@@ -40,7 +40,8 @@
 func (f *front) opened(now time.Duration, c gnet.Conn) gnet.Action {
 	f.node.count.Add("front sockets accepted")
 	f.conn = c
-	if f.taken { // it stands: its desk host's socket follows
+	_ = c.SetNoDelay(true) // danger: a last line that the system holds back goes with the connection
+	if f.taken {           // it stands: its desk host's socket follows
 		return gnet.None
 	}
 	f.since = now - f.waited
@@ -52,15 +53,21 @@
 	f.conn = c
 	if !enough {
 		f.node.count.Add("front sockets refused: too many")
-		f.ending = true
 		f.say(f.node.busyLine(shortage))
-		return gnet.Close
+		if f.finish(now); f.node.left() < -overdrawn {
+			f.release()
+		}
+		return gnet.None
 	}
-	f.silent(now, f.node.patience-f.waited, "ERR no request in time\r\n")
+	f.silent(now, f.node.patience-f.waited, noRequest)
 	f.traffic(now)
 	return gnet.None
 }
 
+// overdrawn is how many clients that were told BUSY for want of a descriptor may take one of our own needs until they
+// have read so.
+const overdrawn = 4
+
 // atOnce is how many commands a client may send before it has read the answers.
 const atOnce = 16
 
@@ -110,7 +117,7 @@
 		default:
 			f.say(fmt.Sprintf("PONG inflight=%d\r\n", f.node.table.Len()))
 		}
-		f.silent(now, f.node.patience, "ERR no request in time\r\n")
+		f.silent(now, f.node.patience, noRequest)
 	case line.Open:
 		opening, err := line.ParseOpening(text)
 		if err == nil {
--- /dev/null
+++ b/internal/net/gate_test.go
@@ -0,0 +1,49 @@
+package net
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"tealtiller/policy"
+)
+
+// Just before the first line is written the gate is asked: a client that has left, though the loop has not read so yet, and a
+// deadline that is due, though it has not run yet, end the route step unsent.
+func TestGateBeforeTheFirstLine(t *testing.T) {
+	r := newRig(t)
+	r.set["connect"] = "9s"
+	for _, step := range []string{"hold", "a connect", "a send OPEN 1 a c=lookup,d=9000", "wait count route steps sent 1"} {
+		require.NoError(t, r.step(step))
+	}
+	ask := func(before func(d *desk), later time.Duration) (result policy.Result, ok bool) {
+		done := make(chan struct{})
+		r.node.post(func(now time.Duration) {
+			defer close(done)
+			for _, d := range r.node.desks.All() {
+				before(d)
+				result, ok = d.writable(now + later)
+			}
+		})
+		<-done
+		return result, ok
+	}
+	nothing := func(*desk) {}
+	_, ok := ask(nothing, 0)
+	assert.True(t, ok)
+	result, ok := ask(nothing, 9*time.Second)
+	assert.False(t, ok)
+	assert.Equal(t, policy.ConnectFailed, result)
+	result, ok = ask(func(d *desk) {
+		assert.NoError(t, r.step("a send hello")) // bytes that lie before its end
+		assert.NoError(t, r.step("a close"))
+		require.Eventually(t, d.front.hungUp, limit, time.Millisecond)
+	}, 0)
+	assert.False(t, ok)
+	assert.Equal(t, policy.Moot, result)
+	require.NoError(t, r.step("let"))
+	require.NoError(t, r.step("wait count clients gone before their answer 1"))
+	require.NoError(t, r.step("wait count route steps written 0"))
+}
--- a/internal/net/node.go
+++ b/internal/net/node.go
@@ -82,6 +82,8 @@
 	timer    *time.Timer
 	timerAt  time.Duration
 	stopping bool
+	parting  time.Duration // when the clients that rest were told to go; 0 before that
+	partedBy time.Duration // and when they have had their time
 	lastOpen time.Duration // when the last OPEN came
 	stopped  chan struct{}
 	last     *link         // the one whose messages must be written before the process ends
@@ -89,6 +91,8 @@
 	patience time.Duration // how long a front socket may go without a whole command
 
 	probeWait time.Duration // how long a desk host may take to answer a question
+
+	connect func(ctx context.Context, network, address string) (stdnet.Conn, error) // off the loop
 }
 
 // NewNode makes a balancer that writes its counters to out. In the folder it meets the process that served before
@@ -97,6 +101,7 @@
 	n := &Node{cfg: cfg, log: log.With("balancer", cfg.Name), known: known, out: out, folder: folder, leading: true, origin: time.Now(), count: counters.Set{},
 		addresses: map[string]netip.AddrPort{}, booted: make(chan struct{}), stopped: make(chan struct{}), silence: silence,
 		patience: mostSilent, probeWait: probeTimeout}
+	n.connect = (&stdnet.Dialer{KeepAlive: -1}).DialContext
 	n.pool = pool{node: n, address: cfg.Discovery, client: poolconfig.NewClient(cfg.Discovery, poolconfig.None),
 		clock: poolconfig.Clock{Least: poolconfig.LeastGrace}}
 	n.delays = newDelays()
--- a/internal/net/probe.go
+++ b/internal/net/probe.go
@@ -138,6 +138,10 @@
 	if !ok || l.probe.asking() {
 		return
 	}
+	if l.probe == nil && n.cfg.Sockets > 0 && n.left() < 2 { // who waits for the report goes on without it after a while
+		n.count.Add("probes not sent: no descriptors")
+		return
+	}
 	n.count.Add("probes sent")
 	n.trace("probe-sent", "host", server, "kept", l.probe != nil)
 	if l.probe != nil {
--- a/internal/net/relay.go
+++ b/internal/net/relay.go
@@ -12,7 +12,7 @@
 func (f *front) relay(now time.Duration) {
 	d := f.desk
 	if d != nil && d.up && d.conn == nil {
-		return // its socket is on its way here
+		return // its socket is on its way here, or has ended
 	}
 	buf := f.peek()
 	if d == nil || !d.up {
--- a/internal/net/rig_test.go
+++ b/internal/net/rig_test.go
@@ -9,6 +9,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -18,6 +19,25 @@
 	"tealtiller/internal/settings"
 )
 
+func newRig(t *testing.T) *rig {
+	return &rig{t: t, set: map[string]string{"hosts": "1", "mode": "pass", "probing": "false", "discovery": "automatic",
+		"siblings": "1", "aim": "2000000000", "tries": "6", "class": "lookup", "sockets": "0", "connect": "1s",
+		"effect": "safe", "scope": "all", "window": "5s"},
+		peers: map[string]*peer{}, desks: make(chan stdnet.Conn, 64), pools: make(chan stdnet.Conn, 64)}
+}
+
+// connect is the node's way to others, through the gate of hold and let.
+func (r *rig) connect(ctx context.Context, network, address string) (stdnet.Conn, error) {
+	if gate := r.held.Load(); gate != nil {
+		select {
+		case <-*gate:
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+	return (&stdnet.Dialer{KeepAlive: -1}).DialContext(ctx, network, address)
+}
+
 func (r *rig) listen(to chan stdnet.Conn) string {
 	l, err := stdnet.Listen("tcp", "127.0.0.1:0")
 	require.NoError(r.t, err)
@@ -95,13 +115,21 @@
 		l.SetUnlinkOnClose(false)
 		require.NoError(r.t, l.Close())
 	}
+	r.node.connect = r.connect
 	node, exited := r.node, r.exited
-	go func() { exited <- node.Run() }()
-	require.NoError(r.t, r.within(func() error { <-node.booted; return nil }))
-	r.t.Cleanup(func() {
+	stop := func() {
 		ctx, cancel := context.WithTimeout(context.Background(), limit)
 		defer cancel()
 		_ = node.engine.Stop(ctx)
+	}
+	go func() {
+		err := node.Run()
+		stop() // as the end of the process does
+		exited <- err
+	}()
+	require.NoError(r.t, r.within(func() error { <-node.booted; return nil }))
+	r.t.Cleanup(func() {
+		stop()
 		for _, p := range r.peers {
 			if p.TCPConn != nil {
 				_ = p.Close()
@@ -130,11 +158,17 @@
 
 // config is the text of a configuration whose file names a discovery of its own.
 func (r *rig) config() string {
-	set := fmt.Sprintf(`{"allowed":{"tryLimit":%s,"connectTimeout":1000000000,"retryAfter":true,"probing":%s},"discovery":%q,"tick":4000000,"siblings":%s,
+	span := func(key string) int64 {
+		d, err := time.ParseDuration(r.set[key])
+		require.NoError(r.t, err)
+		return int64(d)
+	}
+	set := fmt.Sprintf(`{"allowed":{"tryLimit":%s,"connectTimeout":%d,"retryAfter":true,"probing":%s},"discovery":%q,"tick":4000000,"siblings":%s,
 		"familyInfo":{"groups":true,"mode":%q,"messageAim":[250000000]},
-		"grades":[{"name":%q,"aim":%s,"deadline":1200000000,"effect":"safe","dedupScope":"all"}],
+		"grades":[{"name":%q,"aim":%s,"deadline":1200000000,"effect":%q,"dedupScope":%q,"repeatWindow":%d}],
 		"invariants":{"askWithin":10000000000,"coldFrom":0.15,"fall":1000000000,"overloadFactor":3,"stopSendingWithin":300000000,"warmAfter":22000000000}}`,
-		r.set["tries"], r.set["probing"], r.set["discovery"], r.set["siblings"], r.set["mode"], r.set["class"], r.set["aim"])
+		r.set["tries"], span("connect"), r.set["probing"], r.set["discovery"], r.set["siblings"], r.set["mode"], r.set["class"],
+		r.set["aim"], r.set["effect"], r.set["scope"], span("window"))
 	return fmt.Sprintf(`{"name":"n0","discovery":%q,"seed":"7","limits":{"sockets":%s},"known":%s,"settings":%s}`,
 		r.pool, r.set["sockets"], r.known, set)
 }
--- a/internal/net/room.go
+++ b/internal/net/room.go
@@ -35,25 +35,37 @@
 const own = 24
 
 // room sees to it that so many more descriptors may be opened. Where they are short, front sockets without a whole
-// request go, before any client with one is refused: of those that are not in the midst of a line, and then of the
-// others, the one that has been silent for longest.
+// request go, before any client with one is refused: first those that have had their last line, then of those that are
+// not in the midst of a line, and then of the others, the one that has been silent for longest.
 //
 // Danger: a listener that finds no descriptor ends the whole event loop, and so it would if another goroutine
 // accepted hundreds before the loop had a chance to count them.
 func (n *Node) room(more int) bool {
+	return n.clear(more, func(f *front) bool { return !f.taken && !f.ending || f.linger })
+}
+
+// spare is room while the module is at work. Danger: what lies unread on a front socket may be a request, which must not
+// be taken then; so only those go on which nothing does.
+func (n *Node) spare(more int) bool {
+	return n.clear(more, func(f *front) bool { return f.linger || !f.taken && !f.ending && !f.unread() })
+}
+
+// clear closes front sockets that may go, in the order of room.
+func (n *Node) clear(more int, may func(*front) bool) bool {
 	for n.cfg.Sockets > 0 && n.left() < more {
 		var silent *front
 		for _, f := range n.fronts.All() {
-			if f.conn != nil && (!f.taken || f.linger) && (silent == nil || f.idler(silent)) {
+			if f.conn != nil && may(f) && (silent == nil || f.idler(silent)) {
 				silent = f
 			}
 		}
 		if silent == nil {
 			return false
 		}
-		n.count.Add("front sockets closed: silent, descriptors short")
-		silent.ending = true
-		n.end(silent.conn, false)
+		if silent.linger || silent.conclude(n.now(), noRequest) { // else a request lay unread there
+			n.count.Add("front sockets closed: silent, descriptors short")
+			silent.release()
+		}
 	}
 	return true
 }
--- a/internal/net/scenario_test.go
+++ b/internal/net/scenario_test.go
@@ -1,12 +1,14 @@
 package net
 
 import (
+	"cmp"
 	"context"
 	stdnet "net"
 	"os"
 	"path/filepath"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -18,7 +20,7 @@
 // A scenario is a file of lines that drive a real node against scripted peers, one step a line:
 //
 //	set KEY=VALUE           settings before the node starts: hosts, dead, siblings, aim, mode, probing, discovery, sockets, silence, patience, admin, stale, grace;
-//	                        tries, class, cells (the operator's file, ; for new lines) and plan (plan.json), which the next reload brings in
+//	                        connect, effect, scope, window (of repeats), tries, class, cells (the operator's file, ; for new lines) and plan (plan.json), which the next reload brings in
 //	NAME connect            a client connects to the node
 //	NAME call PATH          an operator asks the node's second address; without a path it only connects
 //	NAME accept             takes the next connection that reached a desk host or, for pool, discovery
@@ -32,6 +34,11 @@
 //	kill                    ends the second one as if killed, and goes on with the first
 //	before STEP             a step of the first node, once there is a second: stop, wait exit, wait count
 //	stop                    tells the node to drain
+//	hold                    connections that the node makes from now on do not come up
+//	let                     they do
+//	pause                   stops the event loop between two turns
+//	resume [T...]           goes on with it, where told so long after the pause: what has come meanwhile, and deadlines that
+//	                        have fallen due, cross in one turn; each further T is one more pause, before anything is read
 //	reload move             replaces the configuration by one that names another discovery, and reloads it
 //	reload same             the same, with discovery where it is
 //	reload TEXT             the same with a file of this text
@@ -59,6 +66,8 @@
 	admin   string // its second address, for which it must be set
 	known   string
 	pool    string // the address of discovery that the file names
+	paused  chan time.Duration
+	held    atomic.Pointer[chan struct{}] // closed to let connections come up
 }
 
 func TestScenarios(t *testing.T) {
@@ -69,9 +78,7 @@
 		t.Run(strings.TrimSuffix(filepath.Base(file), ".txt"), func(t *testing.T) {
 			text, err := os.ReadFile(file)
 			require.NoError(t, err)
-			r := &rig{t: t, set: map[string]string{"hosts": "1", "mode": "pass", "probing": "false", "discovery": "automatic",
-				"siblings": "1", "aim": "2000000000", "tries": "6", "class": "lookup", "sockets": "0"},
-				peers: map[string]*peer{}, desks: make(chan stdnet.Conn, 64), pools: make(chan stdnet.Conn, 64)}
+			r := newRig(t)
 			for i, step := range strings.Split(string(text), "\n") {
 				if step = strings.TrimSpace(step); step != "" && step[0] != '#' {
 					require.NoError(t, r.step(step), "%s:%d: %s", file, i+1, step)
@@ -96,8 +103,8 @@
 	case who == "before":
 		return r.before.step(rest)
 	case who == "beside":
-		first := *r
-		r.before = &first
+		r.before = &rig{t: r.t, set: r.set, node: r.node, peers: r.peers, desks: r.desks, pools: r.pools, exited: r.exited,
+			folder: r.folder, started: true, source: r.source, path: r.path, address: r.address, admin: r.admin, known: r.known, pool: r.pool}
 		r.launch()
 		return nil
 	case who == "kill":
@@ -115,6 +122,17 @@
 	case who == "stop":
 		r.node.Drain()
 		return nil
+	case who == "hold":
+		gate := make(chan struct{})
+		r.held.Store(&gate)
+		return nil
+	case who == "let":
+		close(*r.held.Swap(nil))
+		return nil
+	case who == "pause":
+		return r.pause()
+	case who == "resume":
+		return r.resume(strings.Fields(cmp.Or(rest, "0s")))
 	case who == "reload":
 		switch rest {
 		case "move":
@@ -139,6 +157,44 @@
 	return r.peer(who, verb, text)
 }
 
+// pause returns once the loop has stopped.
+func (r *rig) pause() error {
+	stopped, on := make(chan struct{}), make(chan time.Duration)
+	r.paused = on
+	r.node.post(func(now time.Duration) {
+		close(stopped)
+		r.late(now + <-on)
+	})
+	return r.within(func() error { <-stopped; return nil })
+}
+
+// late keeps the loop until a moment: the lateness that a step asks for.
+func (r *rig) late(until time.Duration) {
+	for now := r.node.now(); now < until; now = r.node.now() {
+		time.Sleep(until - now)
+	}
+}
+
+// resume returns once the pauses are over, and deadlines that were due have run.
+func (r *rig) resume(spans []string) error {
+	var times []time.Duration
+	for _, text := range spans {
+		span, err := time.ParseDuration(text)
+		if err != nil {
+			return err
+		}
+		times = append(times, span)
+	}
+	for _, span := range times[1:] { // what is posted runs before the next look at the sockets
+		r.node.post(func(now time.Duration) { r.late(now + span) })
+	}
+	over := make(chan struct{})
+	r.node.post(func(time.Duration) { close(over) })
+	r.paused <- times[0]
+	<-over
+	return nil
+}
+
 // ask asks the loop again and again: each question is answered after all events before it.
 func (r *rig) ask(figure string, what func() int64) error {
 	want, err := strconv.ParseInt(strings.TrimSuffix(figure, "+"), 10, 64)
--- a/internal/net/standing.go
+++ b/internal/net/standing.go
@@ -36,7 +36,7 @@
 		}
 	}
 	f.pass(now, buf[:end])
-	if d.conn != nil {
+	if !d.over {
 		d.discard(end)
 	}
 }
--- a/internal/operation/attempt.go
+++ b/internal/operation/attempt.go
@@ -1,18 +1,26 @@
 package operation
 
 import (
+	"errors"
 	"time"
 
 	"tealtiller/policy"
 )
 
+// ErrNoRoom tells that the carrier had no means to begin a route step.
+var ErrNoRoom = errors.New("no descriptor for an attempt")
+
 func (t *Table) begin(op *operation, server string, timeout time.Duration) {
 	until := t.now + timeout
 	op.out = true
 	t.count.Add("route steps sent")
 	op.until = t.deadlines.Set(until, func(now time.Duration) { t.overdue(now, op) })
 	if err := t.carrier.Begin(op.owner, server, until); err != nil {
-		t.queue = append(t.queue, func(time.Duration) { t.ended(op, policy.ConnectFailed) })
+		result := policy.ConnectFailed
+		if errors.Is(err, ErrNoRoom) {
+			result = policy.Moot
+		}
+		t.queue = append(t.queue, func(time.Duration) { t.ended(op, result) })
 	}
 }
 
--- a/internal/operation/operation.go
+++ b/internal/operation/operation.go
@@ -18,7 +18,7 @@
 // methods may call the table: what comes of them is told later.
 type Carrier interface {
 	// Begin starts a route step at a desk host, which is given up at a time. An error means that nothing
-	// was begun.
+	// was begun; with ErrNoRoom the desk host is not to blame.
 	Begin(owner slot.ID, server string, until time.Duration) error
 	// Abandon ends the route step that is out; sent tells whether it may have run.
 	Abandon(owner slot.ID) (sent bool)
@@ -41,6 +41,7 @@
 	Listed(now time.Duration) (listed, avoided int)
 	Request(now time.Duration, q policy.Request)
 	Open(now time.Duration, q policy.Request, server string)
+	Allows(now time.Duration, id string) bool
 	First(now time.Duration, id string)
 	Outcome(now time.Duration, id string, result policy.Result, over bool)
 	Gone(now time.Duration, id string)
@@ -150,6 +151,14 @@
 	return op.id
 }
 
+// Allows tells whether the route step that is out may be written now: the one gate, just before its bytes are. Danger: the
+// connection took its time to come up, and meanwhile the client went, the desk host was told to drain, or the time in which
+// a repeat does no harm has passed.
+func (t *Table) Allows(now time.Duration, id slot.ID) bool {
+	op, ok := t.ops.Get(id)
+	return ok && op.out && !op.answered && (op.handed || t.module.Allows(now, op.name))
+}
+
 // Up tells that the route step has brought up the connection.
 func (t *Table) Up(now time.Duration, id slot.ID) {
 	op, ok := t.ops.Get(id)
--- a/policy/doubt.go
+++ b/policy/doubt.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -117,10 +118,8 @@
 	}
 }
 
-func (b *Balancer) Heard(now time.Duration, server uint32, delay time.Duration) { // what a sibling tells
-	for _, s := range b.list {
-		if s.hash == server {
-			s.delay, s.delayAt = delay, now
-		}
+func (b *Balancer) Heard(now time.Duration, hash uint32, delay time.Duration) { // what a sibling tells
+	if i := slices.IndexFunc(b.list, func(s *server) bool { return s.hash == hash }); i >= 0 {
+		b.list[i].delay, b.list[i].delayAt = delay, now
 	}
 }
--- a/policy/list.go
+++ b/policy/list.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -38,8 +39,7 @@
 		e.Weight = 1
 	}
 	s.seen = b.lists
-	i, listed := slices.BinarySearchFunc(b.list, s, byID)
-	if !listed {
+	if i, listed := slices.BinarySearchFunc(b.list, s, byID); !listed {
 		b.list, b.changed = slices.Insert(b.list, i, s), true
 	}
 	if e.State == Draining && s.State != Draining && !s.bound {
@@ -71,11 +71,9 @@
 
 func (b *Balancer) forget(now time.Duration) { // who is gone: at once where that binds
 	keep := remembered >> (len(b.servers) / rememberedMost)
-	for id, s := range b.servers {
-		if s.State == Gone && len(s.conns) == 0 && (!b.set.OnlyDrainingBinds || now-s.lost > keep) {
-			delete(b.servers, id)
-		}
-	}
+	maps.DeleteFunc(b.servers, func(_ string, s *server) bool {
+		return s.State == Gone && len(s.conns) == 0 && (!b.set.OnlyDrainingBinds || now-s.lost > keep)
+	})
 	before := len(b.list)
 	b.list = slices.DeleteFunc(b.list, func(s *server) bool {
 		return s.State == Gone && (!b.set.OnlyDrainingBinds || s.bound || b.servers[s.ID] != s)
@@ -85,10 +83,8 @@
 
 // Drop takes a server off the list, as another instance serves it from now on; what stands there goes on.
 func (b *Balancer) Drop(id string) {
-	if s := b.servers[id]; s != nil {
-		s.State, b.changed = Gone, true
-		b.list = slices.DeleteFunc(b.list, func(o *server) bool { return o == s })
-	}
+	b.server(id).State, b.changed = Gone, true
+	b.list = slices.DeleteFunc(b.list, func(s *server) bool { return s.ID == id })
 }
 
 // Join takes a server that another instance served until now, and may just have spent its cold budget.
--- a/policy/ranking.go
+++ b/policy/ranking.go
@@ -20,12 +20,9 @@
 	return bits.RotateLeft32(h, 21)
 }
 
-// multipliers are those of 3.3 for weights sorted ascending; equal ones have the same.
-func multipliers(weights []float64) []float64 {
-	sum, product, before, x := 0.0, 1.0, 0.0, 0.0
-	for _, w := range weights {
-		sum += w
-	}
+// multipliers are those of 3.3 for weights sorted ascending and their sum; equal ones have the same.
+func multipliers(weights []float64, sum float64) []float64 {
+	product, before, x := 1.0, 0.0, 0.0
 	out := make([]float64, len(weights))
 	for i, w := range weights {
 		if left, p := float64(len(weights)-i), w/sum; p != before {
@@ -39,14 +36,15 @@
 
 func (b *Balancer) relist() { // once for any number of changes
 	b.changed, b.size = false, 0
-	ascending := slices.Clone(b.list)
-	slices.SortFunc(ascending, func(a, c *server) int { return cmp.Compare(a.Weight, c.Weight) })
+	ascending := slices.SortedFunc(slices.Values(b.list), func(a, c *server) int {
+		return cmp.Compare(a.Weight, c.Weight)
+	})
 	weights := make([]float64, len(ascending))
 	for i, s := range ascending {
 		weights[i] = s.Weight
 		b.size += s.Weight
 	}
-	for i, x := range multipliers(weights) {
+	for i, x := range multipliers(weights, b.size) {
 		ascending[i].factor = x
 	}
 }
--- a/policy/ranking_test.go
+++ b/policy/ranking_test.go
@@ -29,7 +29,11 @@
 		{[]float64{2, 2, 2}, []float64{1, 1, 1}},
 		{[]float64{1, 3}, []float64{math.Sqrt(0.5), math.Sqrt2}},
 	} {
-		for i, got := range multipliers(c.weights) {
+		sum := 0.0
+		for _, w := range c.weights {
+			sum += w
+		}
+		for i, got := range multipliers(c.weights, sum) {
 			if math.Abs(got-c.want[i]) > 1e-9 {
 				t.Errorf("multipliers(%v)[%d] = %v, want %v", c.weights, i, got, c.want[i])
 			}
--- a/policy/request.go
+++ b/policy/request.go
@@ -38,9 +38,7 @@
 	b.survey(now)
 	overload := b.overloaded()
 	r.excess = (r.attempts == 0 || b.failed > b.inRow()) && !r.midFlow && b.rng.Float64() < overload
-	keyed := r.class.Effect == Keyed && now-r.ranSince < r.class.Window
-	again := r.attempts < r.most && (r.ranAt == nil || r.class.Effect == Safe || keyed)
-	if now >= last || r.excess && !b.many() || !again {
+	if now >= last || r.excess && !b.many() || r.attempts >= r.most || !r.repeats(now) {
 		b.giveUp(now, r, never)
 		return
 	}
@@ -87,6 +85,18 @@
 	b.host.Send(r.id, s.ID, timeout)
 }
 
+func (r *request) repeats(now time.Duration) bool { // whether one more attempt doubles no effect
+	keyed := r.class.Effect == Keyed && now-r.ranSince < r.class.Window
+	return keyed || r.ranAt == nil || r.class.Effect == Safe
+}
+
+// Allows: an attempt may be written now. Danger: while its connection came up, its server was told to drain,
+// or the time in which a repeat is discarded has passed.
+func (b *Balancer) Allows(now time.Duration, id string) bool {
+	r := b.out(id)
+	return r != nil && !r.gone && r.repeats(now) && b.passOver(now, r, r.at) != draining
+}
+
 func (b *Balancer) within(moment time.Duration, times []time.Duration) []time.Duration {
 	i, _ := slices.BinarySearch(times, moment-b.set.BudgetSpan)
 	return times[i:]
@@ -171,6 +181,7 @@
 	if r := b.reqs[id]; r != nil {
 		if r.gone = true; r.at == nil {
 			delete(b.reqs, r.id)
+			b.held = slices.DeleteFunc(b.held, func(o *request) bool { return o == r })
 		}
 	}
 }
@@ -185,9 +196,7 @@
 	held := b.held
 	b.held = nil
 	for _, r := range held {
-		if !r.gone {
-			b.place(now, r)
-		}
+		b.place(now, r)
 	}
 }
 
