Calls for lists in time whatever failed; a stop that waits for no reload and answers what is owed

Cause, by reading: (1) policy.watched put a call off by up to 8 s at the start and 7 s after a refused one, and what discovery has counts as told 6 s after it could be reached. (2) A kept connection that discovery ends as the next call is on its way failed that call (pool.closed) and left it to that spacing. (3) One channel and one goroutine took all signals (main.go): SIGTERM waited behind a reload that reads, and was lost with four others before it. (4) The latest moment of a drain was the longest deadline and 0.6 s, but who stops us waits 3 s of it at the most; where packets pass through nothing gave up what is owed. (5) A takeover ended the listener over handshakes that were under way (shut).

Change: the next call starts within 2.4 s, of more than 240 within 10 ms each; one that crossed the end is made again; signals to stop have their own way; what is owed at the latest moment is answered; the door closes first at a takeover too. One message of a client or a desk host changed at a time (TestOneLineChanged), and the tests' nodes are no longer waited for at their end.

--- a/cmd/tealtiller/main.go
+++ b/cmd/tealtiller/main.go
@@ -75,8 +75,9 @@
 	if c.LogFormat == "json" {
 		handler = slog.NewJSONHandler(os.Stderr, options)
 	}
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGHUP, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
+	signals, stop := make(chan os.Signal, 4), make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGHUP, syscall.SIGUSR1)
+	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT) // danger: behind others it would wait, or find no place and be lost
 	source := settings.NewSource(os.Getenv)
 	load := func() (t net.Terms, err error) {
 		// The operator's file first: a configuration that was read counts as taken.
@@ -104,15 +105,17 @@
 	// wait until the runtime's monitor takes that processor away from it.
 	runtime.GOMAXPROCS(4)
 	node := net.NewNode(terms, known, os.Stderr, os.Getenv("TMPDIR"), slog.New(handler))
+	go func() {
+		for range stop {
+			node.Drain()
+		}
+	}()
 	go func() {
 		for s := range signals {
-			switch s {
-			case syscall.SIGHUP:
+			if s == syscall.SIGHUP {
 				node.Reload(load)
-			case syscall.SIGUSR1:
+			} else {
 				node.Report()
-			default:
-				node.Drain()
 			}
 		}
 	}()
--- /dev/null
+++ b/cmd/tealtiller/signals_test.go
@@ -0,0 +1,78 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// TestMain runs the program itself where a test has started it so.
+func TestMain(m *testing.M) {
+	if os.Getenv("TEST_AS_PROGRAM") != "" {
+		os.Args = os.Args[:1]
+		main()
+		return
+	}
+	os.Exit(m.Run())
+}
+
+// start starts a balancer whose discovery is silent, and returns when it is ready.
+func start(t *testing.T) (balancer *exec.Cmd, config string) {
+	t.Helper()
+	discovery, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = discovery.Close() })
+	config = filepath.Join(t.TempDir(), "config.json")
+	require.NoError(t, os.WriteFile(config, fmt.Appendf(nil, `{"name":"n0","listen":"127.0.0.1:0","discovery":%q,"seed":"7",
+		"limits":{"sockets":100},"known":{"revision":1,"complete":true,"members":[]},"settings":{"allowed":{"tryLimit":2},"discovery":"subscribe",
+		"tick":4000000,"siblings":1,"familyInfo":{"mode":"pass"},
+		"grades":[{"name":"lookup","aim":300000000,"deadline":1200000000,"effect":"safe","dedupScope":"all"}],
+		"invariants":{"askWithin":10000000000,"fall":1000000000,"stopSendingWithin":300000000,"warmAfter":22000000000}}}`,
+		discovery.Addr().String()), 0o600))
+	balancer = exec.Command(os.Args[0])
+	balancer.Env = append(os.Environ(), "TEST_AS_PROGRAM=1", "EDGE_CONFIG="+config, "TMPDIR="+t.TempDir(), "EDGE_OPERATOR=")
+	log, err := balancer.StderrPipe()
+	require.NoError(t, err)
+	require.NoError(t, balancer.Start())
+	t.Cleanup(func() { _ = balancer.Process.Kill() })
+	lines := bufio.NewScanner(log)
+	for lines.Scan() && !strings.Contains(lines.Text(), "msg=ready") {
+	}
+	require.NoError(t, lines.Err())
+	go func() { // what it writes further must not fill the pipe
+		for lines.Scan() {
+		}
+	}()
+	return balancer, config
+}
+
+// SIGTERM ends the balancer in good order though a reload that will not end is under way, and other signals wait behind it.
+func TestStopIsNotHeldUpByAReload(t *testing.T) {
+	balancer, config := start(t)
+	require.NoError(t, os.Remove(config))
+	require.NoError(t, syscall.Mkfifo(config, 0o600)) // whoever reads it waits for somebody who writes
+	require.NoError(t, balancer.Process.Signal(syscall.SIGHUP))
+	for range 8 {
+		require.NoError(t, balancer.Process.Signal(syscall.SIGUSR1))
+		require.NoError(t, balancer.Process.Signal(syscall.SIGHUP))
+	}
+	require.NoError(t, balancer.Process.Signal(syscall.SIGTERM))
+	require.NoError(t, balancer.Process.Signal(syscall.SIGTERM)) // told twice, it ends once
+	ended := make(chan error, 1)
+	go func() { ended <- balancer.Wait() }()
+	select {
+	case err := <-ended:
+		require.NoError(t, err)
+	case <-time.After(20 * time.Second):
+		t.Fatal("it goes on")
+	}
+}
--- a/internal/net/drain.go
+++ b/internal/net/drain.go
@@ -11,6 +11,9 @@
 // 0.4 s after the signal.
 const settled, drainCheck = 600 * time.Millisecond, 20 * time.Millisecond
 
+// mostWait is the longest deadline that who stops us waits for, before it kills us 0.7 s later.
+const mostWait = 3 * time.Second
+
 // Drain ends the node in good order; it may be called from any goroutine.
 func (n *Node) Drain() {
 	<-n.booted
@@ -21,7 +24,7 @@
 		n.stopping, n.lastOpen = true, max(n.lastOpen, now)
 		n.log.Info("draining", "operations", n.table.Len())
 		n.stepBack()
-		n.drained(now, now+n.cfg.Settings.Deadline+settled)
+		n.drained(now, now+min(n.cfg.Settings.Deadline, mostWait)+settled)
 	})
 }
 
@@ -46,6 +49,9 @@
 			}
 		}
 	}
+	if now >= latest {
+		n.answerOwed(now)
+	}
 	answered := n.table.Owed() == 0 && now-n.lastOpen >= settled && !n.midLine()
 	if done := n.cfg.Settings.PassThrough && answered && n.table.Len() == 0 ||
 		!n.cfg.Settings.PassThrough && (answered || now >= latest); !done {
@@ -136,13 +142,20 @@
 	}
 }
 
-// leave ends the process. Danger: an operation that is still owed its answer at the latest moment would end without one.
-func (n *Node) leave() {
+// answerOwed gives up what is still owed its answer at the latest moment. Danger: who is killed next answers nobody.
+func (n *Node) answerOwed(now time.Duration) {
 	for _, f := range n.fronts.All() {
 		if f.conn != nil && f.taken && !f.ending && (f.desk == nil || !f.desk.up) {
 			n.count.Add("operations answered: failed, at the end")
-			f.answer(n.now(), "ERR\r\n")
+			f.answer(now, "ERR\r\n")
+			n.table.Spoilt(now, f.op)
 		}
+	}
+}
+
+// leave ends the process.
+func (n *Node) leave() {
+	for _, f := range n.fronts.All() {
 		f.release()
 	}
 	n.report()
--- a/internal/net/inherit.go
+++ b/internal/net/inherit.go
@@ -101,7 +101,14 @@
 			n.shareOut(n.cfg.Sockets - needs)
 		}
 	}
-	return n.fronts.Len() == 0 && n.table.Len() == 0 && n.shut()
+	if n.fronts.Len() > 0 || n.table.Len() > 0 {
+		return false
+	}
+	if n.parting == 0 { // those whose connection has begun are still accepted; who asks again finds the other process
+		n.parting = now
+		n.door(false)
+	}
+	return now-n.parting >= drainCheck && n.shut()
 }
 
 // shut ends the listener if nobody waits there. Danger: ending it resets those that do, so nothing may come between
--- /dev/null
+++ b/internal/net/mutation_test.go
@@ -0,0 +1,88 @@
+package net
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	stdnet "net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"tealtiller/internal/mutation"
+)
+
+// lines is a short correct run of a client and its desk host; the desk host ends the connection after it.
+var lines = []mutation.Message{
+	{From: "client", To: "desk", Kind: "opening", Body: []byte("OPEN 1f a c=lookup,d=300\r\n")},
+	{From: "desk", To: "client", Kind: "up", Body: []byte("UP r1\r\n")},
+	{From: "client", To: "desk", Kind: "line", Body: []byte("hello\r\n")},
+	{From: "desk", To: "client", Kind: "load", Body: []byte("LOAD 0.5\r\n")},
+	{From: "desk", To: "client", Kind: "line", Body: []byte("back\r\n")},
+	{From: "desk", To: "client", Kind: "bye", Body: []byte("BYE\r\n")},
+}
+
+// A short run with one line changed, by each change there is: the client has one final answer, after UP nothing but whole
+// lines of its desk host, and at most MOVE behind them; nothing is owed and nothing stands when it has gone.
+func TestOneLineChanged(t *testing.T) {
+	cases := 0
+	for c := range mutation.Cases(lines, mutation.Text{Places: 12}) {
+		cases++
+		t.Run(fmt.Sprint(c.Index), func(t *testing.T) {
+			t.Parallel()
+			playLines(t, c)
+		})
+	}
+	assert.Greater(t, cases, 120)
+}
+
+func playLines(t *testing.T, c mutation.Case) {
+	r := newRig(t)
+	r.set["patience"] = "200ms"
+	r.start()
+	var client, desk []byte
+	for _, m := range c.Run {
+		if m.From == "client" {
+			client = append(client, m.Body...)
+		} else {
+			desk = append(desk, m.Body...)
+		}
+	}
+	go func() { // its only desk host, which answers each attempt alike
+		for d := range r.desks {
+			go func() {
+				_ = d.SetDeadline(time.Now().Add(limit))
+				one := make([]byte, 1)
+				for n, err := d.Read(one); n > 0 && err == nil && one[0] != '\n'; n, err = d.Read(one) {
+				}
+				_, _ = d.Write(desk)
+				_ = d.(*stdnet.TCPConn).CloseWrite()
+				_, _ = io.Copy(io.Discard, d)
+				_ = d.Close()
+			}()
+		}
+	}()
+	t.Cleanup(func() { close(r.desks) })
+	require.NoError(t, r.step("a connect"))
+	_, err := r.peers["a"].Write(client)
+	require.NoError(t, err)
+	got, err := io.ReadAll(r.peers["a"].r)
+	require.NoError(t, err, "%v: %q", c, got)
+	first, rest, whole := strings.Cut(string(got), "\r\n")
+	require.True(t, whole, "%v: %q", c, got)
+	word, _, _ := strings.Cut(first, " ")
+	switch word {
+	case "UP":
+		passed := strings.TrimSuffix(string(got), "MOVE\r\n")
+		assert.True(t, bytes.HasPrefix(desk, []byte(passed)), "%v: %q of %q", c, got, desk)
+	case "BUSY", "ERR", "PONG":
+		assert.Empty(t, rest, "%v: %q", c, got)
+	default:
+		t.Errorf("%v: %q", c, got)
+	}
+	require.NoError(t, r.peers["a"].Close())
+	require.NoError(t, r.ask("0", func() int64 { return int64(r.node.table.Len() + r.node.fronts.Len()) }), "%v", c)
+}
--- a/internal/net/pool.go
+++ b/internal/net/pool.go
@@ -35,6 +35,9 @@
 	conn    gnet.Conn
 	cancel  context.CancelFunc
 	waiting bool // for an answer
+	heard   bool // some of it has come
+	calls   int  // made on it
+	asked   time.Duration
 	limit   *deadline.Deadline
 	dialled time.Duration
 	dial    time.Duration // that the connection may take
@@ -73,7 +76,8 @@
 // ask makes the next call on the connection, at once: a watch lasts only as long as calls follow closely.
 func (p *pool) ask(now time.Duration) {
 	c := p.call
-	c.waiting = true
+	c.waiting, c.heard, c.asked = true, false, now
+	c.calls++
 	next := p.timing().Call(p.client.Whole())
 	c.limit = p.node.deadlines.Set(now+next.Limit, func(now time.Duration) {
 		if p.call == c {
@@ -133,6 +137,7 @@
 	if len(data) == 0 {
 		return
 	}
+	c.heard = true
 	c.pool.take(now, data, false)
 	if c.conn != nil {
 		_, _ = c.conn.Discard(-1)
@@ -145,6 +150,10 @@
 	c.cancel()
 	switch p := c.pool; {
 	case p.call != c:
+	case c.waiting && c.calls > 1 && !c.heard && now-c.asked < crossing && !p.timing().Pushed: // whose clock asks anew anyway
+		p.node.count.Add("discovery calls crossed by the end of their connection")
+		p.drop()
+		p.dial(now)
 	case c.waiting:
 		p.take(now, nil, true)
 	default:
@@ -152,6 +161,10 @@
 	}
 }
 
+// crossing is how soon after a call the end of a kept connection means that the two crossed: it was ended for being done
+// with, and the call was not seen. It is made again at once, on a new one, as a watch lasts only where calls follow closely.
+const crossing = 200 * time.Millisecond
+
 // take takes a part of an answer, or the end of the connection.
 func (p *pool) take(now time.Duration, data []byte, ended bool) {
 	list, keep, err := p.client.Feed(data, ended)
--- a/internal/net/rig_test.go
+++ b/internal/net/rig_test.go
@@ -9,6 +9,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -54,12 +55,12 @@
 	return l.Addr().String()
 }
 
-var addresses int
+var addresses atomic.Int64
 
 // free is an address at which nobody listens: of the loopback range, one that no test has had.
 func (r *rig) free() string {
-	addresses++
-	return fmt.Sprintf("127.%d.%d.%d:3000", 100+os.Getpid()%100, 1+addresses/200, 1+addresses%200)
+	n := addresses.Add(1)
+	return fmt.Sprintf("127.%d.%d.%d:3000", 100+os.Getpid()%100, 1+n/200, 1+n%200)
 }
 
 func (r *rig) start() {
@@ -129,7 +130,7 @@
 	}()
 	require.NoError(r.t, r.within(func() error { <-node.booted; return nil }))
 	r.t.Cleanup(func() {
-		stop()
+		go stop() // gnet takes half a second for it, and nobody waits for that
 		for _, p := range r.peers {
 			if p.TCPConn != nil {
 				_ = p.Close()
--- a/policy/list.go
+++ b/policy/list.go
@@ -97,22 +97,23 @@
 func byID(s, o *server) int { return cmp.Compare(s.ID, o.ID) }
 
 // watched keeps the subscription. Danger: calls that all siblings make at once fail at once. So each waits at
-// random within a span that grows with their number and doubles with each failure, yet asks within AskWithin.
+// random within a span that grows with their number and doubles with each failure, yet is answered in time.
 func (b *Balancer) watched(now time.Duration, kind MembersKind) {
 	if b.asking = b.set.MustAsk && (kind == Failed || kind == Cached); !b.asking {
 		b.askFails = 0
 		return
 	}
-	limit := b.set.AskWithin * 4 / 5
 	if kind == Failed {
 		b.askFails++
 		b.logf("list of servers: call %d in a row failed", b.askFails)
-		limit = b.set.AskWithin * 7 / 10 // danger: what a call of seconds ago missed counts as told
 	}
-	span := min(b.set.AskWithin/100*time.Duration(b.set.Siblings)<<min(b.askFails, 5), limit)
+	each := b.set.AskWithin / 1000 * time.Duration(b.set.Siblings) // at least; a call takes its time too
+	span := min(each*10<<min(b.askFails, 5), max(each, toldAfter*2/5), b.set.AskWithin*7/10)
 	b.host.Wake(now+time.Duration(b.rng.Int64N(int64(span)+1)), timerAsk)
 }
 
+const toldAfter = 6 * time.Second // by then what discovery has counts as told, whatever calls failed
+
 // Listed is how many servers the list names, and how many of them are avoided now.
 func (b *Balancer) Listed(now time.Duration) (listed, avoided int) {
 	for _, s := range b.list {
