--- a/policy/answer_test.go
+++ b/policy/answer_test.go
@@ -131,3 +131,17 @@
 		t.Errorf("sends %v, want half of the time", got)
 	}
 }
+
+// Who leaves while its request is held is not sent for when a server comes.
+func TestNothingIsSentForAHeldRequestOfOneWhoLeft(t *testing.T) {
+	b, h := newBalancer(t, nil)
+	b.Request(t0, req("stays", 3))
+	b.Request(t0, req("leaves", 4))
+	b.Gone(t0+ms, "leaves")
+	b.Members(t0+2*ms, Full, fleet(2))
+	h.actions = nil
+	b.Wake(t0+200*ms, timerHeld)
+	if sent := h.take("send"); len(sent) != 1 || sent[0].request != "stays" {
+		t.Errorf("sent %v", sent)
+	}
+}
