--- a/internal/net/desk.go
+++ b/internal/net/desk.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"errors"
-	stdnet "net"
 	"time"
 
 	"github.com/panjf2000/gnet/v2"
@@ -34,76 +32,6 @@
 	silent  *deadline.Deadline
 }
 
-const dialTimeout = 150 * time.Millisecond // where the settings tell none
-
-// begin dials a desk host off the loop and sends it the client's first line.
-func (n *Node) begin(f *front, server string, until time.Duration) error {
-	address, ok := n.addresses[server]
-	switch {
-	case !ok:
-		return errors.New("no address of " + server)
-	case f.hungUp(): // the loop is about to hear of it, and ends the operation
-		n.count.Add("route steps not begun: client gone")
-		return nil
-	case !n.spare(2): // danger: a dial without a descriptor would look like an ill desk host
-		n.count.Add("route steps not begun: no descriptors")
-		return operation.ErrNoRoom
-	}
-	d := &desk{node: n, front: f, server: server, until: until, last: policy.Reset}
-	d.id = n.desks.Add(d)
-	f.desk = d
-	wait := n.cfg.Settings.ConnectTimeout
-	if wait <= 0 {
-		wait = dialTimeout
-	}
-	if f.opening.At != "" { // all come at once, and none has anywhere else to go
-		wait = until - n.now()
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), min(wait, until-n.now()))
-	d.cancel = cancel
-	n.dial(ctx, d, address.String())
-	return nil
-}
-
-// dial makes a connection off the loop; the socket is told of it by opened, or by closed that there is none.
-func (n *Node) dial(ctx context.Context, s socket, address string) {
-	n.dialling++
-	go func() {
-		c, err := n.connect(ctx, "tcp", address)
-		if err == nil {
-			err = n.enroll(s, c)
-		}
-		if err != nil {
-			n.lost(s)
-		}
-	}()
-}
-
-// lost tells a socket that was counted as dialling that it has no connection.
-func (n *Node) lost(s socket) {
-	n.post(func(now time.Duration) {
-		n.dialling--
-		s.closed(now, false)
-	})
-}
-
-// enroll brings a connection to the loop, which tells the socket of it by opened. The loop gets a duplicate; ours is
-// closed before the channel is. Danger: it is closed by a goroutine, which may lag behind when dozens come at once.
-func (n *Node) enroll(s socket, c stdnet.Conn) error {
-	done, err := n.loop.Enroll(gnet.NewContext(context.Background(), s), c)
-	if err != nil {
-		_ = c.Close()
-		return err
-	}
-	for result := range done { // danger: what fails here, for want of a descriptor, is told nowhere else
-		err = result.Err
-	}
-	if err == nil {
-		n.post(func(time.Duration) { n.doubled-- })
-	}
-	return err
-}
-
 // opened sends the first line as it came, but for how long we wait.
 func (d *desk) opened(now time.Duration, c gnet.Conn) gnet.Action {
 	d.cancel()
--- a/internal/operation/attempt.go
+++ b/internal/operation/attempt.go
@@ -4,6 +4,7 @@
 	"errors"
 	"time"
 
+	"tealtiller/internal/slot"
 	"tealtiller/policy"
 )
 
@@ -24,6 +25,28 @@
 	}
 }
 
+// Allows tells whether the route step that is out may be written now: the one gate, just before its bytes are. Danger: the
+// connection took its time to come up, and meanwhile the client went, the desk host was told to drain, or the time in which
+// a repeat does no harm has passed.
+func (t *Table) Allows(now time.Duration, id slot.ID) bool {
+	op, ok := t.ops.Get(id)
+	return ok && op.out && !op.answered && (op.handed || t.module.Allows(now, op.name))
+}
+
+// Up tells that the route step has brought up the connection.
+func (t *Table) Up(now time.Duration, id slot.ID) {
+	op, ok := t.ops.Get(id)
+	if !ok || !op.out || op.stands {
+		return
+	}
+	t.now = now
+	t.deadlines.Stop(op.until)
+	op.stands = true
+	t.answered(op, completed)
+	t.module.First(now, op.name)
+	t.settle()
+}
+
 // overdue gives up a route step that has not brought up the connection in its time.
 func (t *Table) overdue(now time.Duration, op *operation) {
 	if !op.out || op.stands {
--- a/internal/operation/operation.go
+++ b/internal/operation/operation.go
@@ -151,28 +151,6 @@
 	return op.id
 }
 
-// Allows tells whether the route step that is out may be written now: the one gate, just before its bytes are. Danger: the
-// connection took its time to come up, and meanwhile the client went, the desk host was told to drain, or the time in which
-// a repeat does no harm has passed.
-func (t *Table) Allows(now time.Duration, id slot.ID) bool {
-	op, ok := t.ops.Get(id)
-	return ok && op.out && !op.answered && (op.handed || t.module.Allows(now, op.name))
-}
-
-// Up tells that the route step has brought up the connection.
-func (t *Table) Up(now time.Duration, id slot.ID) {
-	op, ok := t.ops.Get(id)
-	if !ok || !op.out || op.stands {
-		return
-	}
-	t.now = now
-	t.deadlines.Stop(op.until)
-	op.stands = true
-	t.answered(op, completed)
-	t.module.First(now, op.name)
-	t.settle()
-}
-
 // Ended tells how the route step that was out has ended, or the connection that it brought up.
 func (t *Table) Ended(now time.Duration, id slot.ID, result policy.Result) {
 	if op, ok := t.ops.Get(id); ok && op.out {
