--- a/internal/net/rig_test.go
+++ b/internal/net/rig_test.go
@@ -124,9 +124,8 @@
 		_ = node.engine.Stop(ctx)
 	}
 	go func() {
-		err := node.Run()
+		exited <- node.Run()
 		stop() // as the end of the process does
-		exited <- err
 	}()
 	require.NoError(r.t, r.within(func() error { <-node.booted; return nil }))
 	r.t.Cleanup(func() {
