Where packets pass through, who comes after the latest moment of a drain is served as before

Cause: answerOwed ran at every look from the latest moment on, and where packets pass through a balancer may run on for long after it: whoever came later was told ERR within 20 ms. Found by reading the change again. Change: there it runs once.

Measured: cross-stop-owed-pass, with a client that comes later, fails without the change; the other scenarios of the end pass.

--- a/internal/net/drain.go
+++ b/internal/net/drain.go
@@ -49,7 +49,8 @@
 			}
 		}
 	}
-	if now >= latest {
+	if now >= latest && !(n.cfg.Settings.PassThrough && n.overdue) { // once where it goes on: who comes later is served
+		n.overdue = true
 		n.answerOwed(now)
 	}
 	answered := n.table.Owed() == 0 && now-n.lastOpen >= settled && !n.midLine()
--- a/internal/net/node.go
+++ b/internal/net/node.go
@@ -84,6 +84,7 @@
 	stopping bool
 	parting  time.Duration // when the clients that rest were told to go; 0 before that
 	partedBy time.Duration // and when they have had their time
+	overdue  bool          // the latest moment has come, and what was owed has its answer
 	lastOpen time.Duration // when the last OPEN came
 	stopped  chan struct{}
 	last     *link         // the one whose messages must be written before the process ends
