Calls for lists again at ten a second of all balancers at the most

Change: each balancer's span is 0.1 s for each sibling at the least, so the limit of 2.4 s holds for up to 24 of them only.

Open: with more than 24 balancers what is told after a refused call may come later than 6 s.

--- a/policy/list.go
+++ b/policy/list.go
@@ -107,13 +107,12 @@
 		b.askFails++
 		b.logf("list of servers: call %d in a row failed", b.askFails)
 	}
-	each := b.set.AskWithin / 1000 * time.Duration(b.set.Siblings) // at least; a call takes its time too
-	span := min(each*10<<min(b.askFails, 5), max(each, toldAfter*2/5), b.set.AskWithin*7/10)
+	each := b.set.AskWithin / 100 * time.Duration(b.set.Siblings) // sooner, many jam it
+	span := min(each<<min(b.askFails, 5), max(each, toldAfter*2/5), b.set.AskWithin*7/10)
 	b.host.Wake(now+time.Duration(b.rng.Int64N(int64(span)+1)), timerAsk)
 }
 
 const toldAfter = 6 * time.Second // by then what discovery has counts as told, whatever calls failed
-
 // Listed is how many servers the list names, and how many of them are avoided now.
 func (b *Balancer) Listed(now time.Duration) (listed, avoided int) {
 	for _, s := range b.list {
