A request read in the very last look of a drain is answered before the balancer leaves

Cause: Node.parted concludes those who rest, which may take a request that lay unread, and where its time was over it let the process leave at once: that request was dropped without an answer. Found by reading the change again. Change: what is owed is given up first.

Measured: cross-stop-late ends in a bare EOF without the change and in ERR with it; the tests of net and operation pass.

--- a/internal/net/drain.go
+++ b/internal/net/drain.go
@@ -93,11 +93,15 @@
 	for _, f := range n.fronts.All() {
 		f.conclude(now, n.busyLine(0))
 	}
-	if n.table.Owed() > 0 && now < n.partedBy { // a request lay there
+	if now >= n.partedBy {
+		n.answerOwed(now) // danger: one that lay there was taken just now
+		return true
+	}
+	if n.table.Owed() > 0 { // a request lay there
 		return false
 	}
 	waits := now-n.parting < drainCheck || n.fronts.Len() > 0
-	return now >= n.partedBy || !waits && n.shut()
+	return !waits && n.shut()
 }
 
 // reopen lets connections begin again: a request was read at the last moment, and what comes of it is carried on.
