Log and figures of the host list: each call, its age, changes of hosts, reasons of refusals

Now each call and its failure has a line at the debug level (address, connection, how long it took, what follows), list-stale and list-current mark at the info level that discovery has been unheard for 4 s while calls fail, host-phase tells each change of a host, an attempt is traced with the revision and age of the list, one held back by the gate before its first byte too, and a refusal with the decision code's reason (policy.Reason). The second address has svc.list.*. No decision changes; giving a request up has a file of its own, policy/refusal.go. Tests of all packages pass.

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"slices"
 	"strings"
+	"time"
 
 	"tealtiller/internal/cells"
 	"tealtiller/internal/counters"
@@ -64,10 +65,19 @@
 	Pending              int
 	Members, Unavailable int
 	Reloads, Refused     int64 // configurations taken in and turned down
+	List                 List
 	Cells                []Cell
 	Plan                 *placement.Figures // nil: no plan
 }
 
+// List is the figures of the host list.
+type List struct {
+	Revision      int64
+	Unheard       time.Duration // since discovery last answered
+	Calls, Failed int64
+	NotWritten    int64 // attempts that the gate before the first byte held back
+}
+
 // Cell is the figures of one cell.
 type Cell cells.Figures
 
@@ -82,6 +92,9 @@
 	fmt.Fprintf(&b, "svc.upstream_requests:%d|c\nsvc.pending:%d|g\nsvc.members:%d|g\nsvc.members_unavailable:%d|g\n"+
 		"svc.config_reloads:%d|c\nsvc.config_reload_errors:%d|c\n",
 		f.Attempts, f.Pending, f.Members, f.Unavailable, f.Reloads, f.Refused)
+	fmt.Fprintf(&b, "svc.list.revision:%d|g\nsvc.list.unheard_ms:%d|g\nsvc.list.calls:%d|c\nsvc.list.calls_failed:%d|c\n"+
+		"svc.list.attempts_not_written:%d|c\n",
+		f.List.Revision, f.List.Unheard.Milliseconds(), f.List.Calls, f.List.Failed, f.List.NotWritten)
 	for _, c := range f.Cells {
 		fmt.Fprintf(&b, "svc.cells.%[1]s.connections:%[2]d|g\nsvc.cells.%[1]s.guests:%[3]d|g\nsvc.cells.%[1]s.members:%[4]d|g\n"+
 			"svc.cells.%[1]s.members_usable:%[5]d|g\nsvc.cells.%[1]s.moves_left:%[6]d|g\nsvc.cells.%[1]s.moved:%[7]d|c\n"+
--- a/internal/admin/admin_test.go
+++ b/internal/admin/admin_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -48,7 +49,8 @@
 
 func TestFigures(t *testing.T) {
 	f := Figures{Classes: map[string]counters.Ends{"b": {}, "a": {Completed: 812, Rejected: 2, Failed: 1}}, Attempts: 900, Pending: 14,
-		Members: 5, Unavailable: 1, Reloads: 3, Refused: 4}
+		Members: 5, Unavailable: 1, Reloads: 3, Refused: 4,
+		List: List{Revision: 41, Unheard: 1500 * time.Millisecond, Calls: 7, Failed: 2, NotWritten: 5}}
 	assert.Equal(t, `svc.downstream_requests.a.completed:812|c
 svc.downstream_requests.a.rejected:2|c
 svc.downstream_requests.a.failed:1|c
@@ -61,6 +63,11 @@
 svc.members_unavailable:1|g
 svc.config_reloads:3|c
 svc.config_reload_errors:4|c
+svc.list.revision:41|g
+svc.list.unheard_ms:1500|g
+svc.list.calls:7|c
+svc.list.calls_failed:2|c
+svc.list.attempts_not_written:5|c
 `, f.Text())
 }
 
--- a/internal/cells/admission.go
+++ b/internal/cells/admission.go
@@ -23,7 +23,7 @@
 		} else if wait, why := f.refusal(now, c); wait > 0 {
 			if from, c = c, f.overflow(now, c); c == nil {
 				*why++
-				f.host.Refuse(q.ID, wait+spread(q.ID, wait))
+				f.host.Refuse(q.ID, wait+spread(q.ID, wait), policy.CellLimit)
 				return
 			}
 		}
--- a/internal/cells/cost_test.go
+++ b/internal/cells/cost_test.go
@@ -14,13 +14,13 @@
 // still carries nothing out.
 type still struct{ policy.Host }
 
-func (still) Send(string, string, ticks) {}
-func (still) Refuse(string, ticks)       {}
-func (still) Fail(string)                {}
-func (still) Wake(ticks, int64)          {}
-func (still) Watch(bool)                 {}
-func (still) Ask(string)                 {}
-func (still) Log(string)                 {}
+func (still) Send(string, string, ticks)          {}
+func (still) Refuse(string, ticks, policy.Reason) {}
+func (still) Fail(string)                         {}
+func (still) Wake(ticks, int64)                   {}
+func (still) Watch(bool)                          {}
+func (still) Ask(string)                          {}
+func (still) Log(string)                          {}
 
 // One placement and its end, on 1,000 hosts: the bare module, a Fleet without a plan, with one cell, with 40.
 func BenchmarkDecision(b *testing.B) {
--- a/internal/cells/fleet_test.go
+++ b/internal/cells/fleet_test.go
@@ -54,13 +54,16 @@
 		w.sent(r, s)
 	}
 }
-func (w *world) Refuse(r string, d time.Duration) { w.say("refuse %s %v", r, d); w.final[r]++ }
-func (w *world) Fail(r string)                    { w.say("fail %s", r); w.final[r]++ }
-func (w *world) Move(r string)                    { w.say("move %s", r); w.moved = append(w.moved, r) }
-func (w *world) Ask(s string)                     { w.say("ask %s", s) }
-func (w *world) Tell(s uint32, d time.Duration)   { w.say("tell %d %v", s, d) }
-func (w *world) Watch(on bool)                    { w.say("watch %v", on); w.watched++ }
-func (w *world) Log(string)                       {}
+func (w *world) Refuse(r string, d time.Duration, _ policy.Reason) {
+	w.say("refuse %s %v", r, d)
+	w.final[r]++
+}
+func (w *world) Fail(r string)                  { w.say("fail %s", r); w.final[r]++ }
+func (w *world) Move(r string)                  { w.say("move %s", r); w.moved = append(w.moved, r) }
+func (w *world) Ask(s string)                   { w.say("ask %s", s) }
+func (w *world) Tell(s uint32, d time.Duration) { w.say("tell %d %v", s, d) }
+func (w *world) Watch(on bool)                  { w.say("watch %v", on); w.watched++ }
+func (w *world) Log(string)                     {}
 func (w *world) Wake(at time.Duration, name int64) {
 	w.say("wake %v %d", at, name)
 	w.timers = append(w.timers, timer{at, name})
--- a/internal/cells/host.go
+++ b/internal/cells/host.go
@@ -1,6 +1,10 @@
 package cells
 
-import "time"
+import (
+	"time"
+
+	"tealtiller/policy"
+)
 
 // A cell is the policy.Host of its module: it keeps the Fleet's books and passes the action on.
 
@@ -14,10 +18,10 @@
 }
 
 // Refuse is a final answer.
-func (c *cell) Refuse(request string, retryAfter time.Duration) {
+func (c *cell) Refuse(request string, retryAfter time.Duration, why policy.Reason) {
 	c.count.Refused++
 	c.fleet.untrack(request)
-	c.fleet.host.Refuse(request, retryAfter)
+	c.fleet.host.Refuse(request, retryAfter, why)
 }
 
 // Fail is a final answer.
--- a/internal/discovery/watcher.go
+++ b/internal/discovery/watcher.go
@@ -19,16 +19,36 @@
 
 // Observer hears what comes of the calls.
 type Observer interface {
-	Called(whole bool, wait time.Duration)
+	Called(call CallStart)
 	// Crossed tells that a call crossed the end of a kept connection and is made again.
 	Crossed()
-	// Failed tells of a failed call; notable, that it is worth a line of the log.
-	Failed(err error, notable bool)
+	Failed(now time.Duration, failure CallFailure)
 	// Broken tells that the watch is off until Watch turns it on again.
 	Broken(now time.Duration)
 	Listed(now time.Duration, list *List)
 }
 
+// CallStart describes a call as it is written.
+type CallStart struct {
+	Connection int // the number of its connection, of all that were made
+	Address    string
+	Since      int64         // the revision that is held; None asks for the whole list
+	Wait       time.Duration // discovery may hold its answer back so long
+	Limit      time.Duration // from the call to its answer
+}
+
+// CallFailure describes a call, or an attempt to connect, that has failed.
+type CallFailure struct {
+	Connection int
+	Address    string
+	Err        error
+	Took       time.Duration // since the call, or since the connection was asked for
+	InRow      int           // failures since the last answer
+	Again      bool          // the watcher calls again by itself,
+	After      time.Duration // after this
+	Notable    bool          // it is worth a line of the log
+}
+
 // Errors of calls that failed without an answer that could be read.
 var (
 	errNoAnswer   = errors.New("discovery: no answer in time")
@@ -128,7 +148,7 @@
 			w.failed(now, errNoAnswer, Silent)
 		}
 	})
-	w.observer.Called(w.client.Whole(), call.Wait)
+	w.observer.Called(CallStart{Connection: number, Address: w.address, Since: w.client.revision, Wait: call.Wait, Limit: call.Limit})
 	w.transport.Send(w.client.Call(call.Wait))
 }
 
@@ -144,9 +164,14 @@
 
 // failed has the call made again where the clock says so; else the observer hears, once, that the watch has broken.
 func (w *Watcher) failed(now time.Duration, err error, how Failure) {
+	began := w.link.dialled
+	if w.link.waiting {
+		began = w.link.asked
+	}
 	w.drop()
 	again, after := w.Clock.Failed(how)
-	w.observer.Failed(err, w.First() || !again) // danger: an agent that is silent through an outage would fill the log
+	w.observer.Failed(now, CallFailure{Connection: w.link.number, Address: w.address, Err: err, Took: now - began, InRow: w.fails,
+		Again: again, After: after, Notable: w.First() || !again}) // danger: an agent that is silent through an outage would fill the log
 	if !again {
 		w.on = false
 		w.observer.Broken(now)
--- a/internal/discovery/watcher_test.go
+++ b/internal/discovery/watcher_test.go
@@ -23,9 +23,9 @@
 func (r *recorder) Dial(time.Duration, string, time.Duration) { r.dials++ }
 func (r *recorder) Send(request []byte)                       { r.requests = append(r.requests, string(request)) }
 func (r *recorder) Drop()                                     {}
-func (r *recorder) Called(bool, time.Duration)                {}
+func (r *recorder) Called(CallStart)                          {}
 func (r *recorder) Crossed()                                  {}
-func (r *recorder) Failed(err error, _ bool)                  { r.failed = append(r.failed, err) }
+func (r *recorder) Failed(_ time.Duration, f CallFailure)     { r.failed = append(r.failed, f.Err) }
 func (r *recorder) Broken(time.Duration)                      { r.broken++ }
 func (r *recorder) Listed(_ time.Duration, list *List)        { r.lists = append(r.lists, list) }
 func (r *recorder) last() *List                               { return r.lists[len(r.lists)-1] }
--- a/internal/lab/drainsearch/attempt.go
+++ b/internal/lab/drainsearch/attempt.go
@@ -132,7 +132,9 @@
 }
 
 // Busy is a final answer.
-func (b *balancer) Busy(owner slot.ID, _ time.Duration) { b.clients[owner].done = true }
+func (b *balancer) Busy(owner slot.ID, _ time.Duration, _ policy.Reason) {
+	b.clients[owner].done = true
+}
 
 // Failed is a final answer.
 func (b *balancer) Failed(owner slot.ID) { b.clients[owner].done = true }
--- a/internal/lab/drainsearch/watch.go
+++ b/internal/lab/drainsearch/watch.go
@@ -51,13 +51,15 @@
 type observer struct{ *balancer }
 
 // Called does nothing; the service tells the audit of calls.
-func (o observer) Called(bool, time.Duration) {}
+func (o observer) Called(discovery.CallStart) {}
 
 // Crossed does nothing.
 func (o observer) Crossed() {}
 
 // Failed tells who looks at a script.
-func (o observer) Failed(err error, _ bool) { o.world.explain("balancer %d: %v", o.number, err) }
+func (o observer) Failed(_ time.Duration, f discovery.CallFailure) {
+	o.world.explain("balancer %d: %v", o.number, f.Err)
+}
 
 // Broken tells the module.
 func (o observer) Broken(now time.Duration) {
--- a/internal/lab/virtual_balancer.go
+++ b/internal/lab/virtual_balancer.go
@@ -86,7 +86,7 @@
 }
 
 // Refuse has the client come again as it is told.
-func (b *virtualBalancer) Refuse(request string, after time.Duration) {
+func (b *virtualBalancer) Refuse(request string, after time.Duration, _ policy.Reason) {
 	if c := b.clients[request]; c != nil {
 		b.v.final(c)
 		b.v.again(c, min(after, longestBack))
@@ -94,7 +94,7 @@
 }
 
 // Fail has the client come again.
-func (b *virtualBalancer) Fail(request string) { b.Refuse(request, 0) }
+func (b *virtualBalancer) Fail(request string) { b.Refuse(request, 0, policy.NoServer) }
 
 // Move ends a connection that stands.
 func (b *virtualBalancer) Move(request string) {
--- a/internal/net/carrier.go
+++ b/internal/net/carrier.go
@@ -6,6 +6,7 @@
 
 	"tealtiller/internal/request"
 	"tealtiller/internal/slot"
+	"tealtiller/policy"
 )
 
 // carrier carries out the actions of the requests; their owners are the numbers of downstream sockets.
@@ -32,10 +33,10 @@
 	return u.sent
 }
 
-func (c carrier) Busy(owner slot.ID, retryAfter time.Duration) {
+func (c carrier) Busy(owner slot.ID, retryAfter time.Duration, why policy.Reason) {
 	c.node.count.Add("operations answered: busy")
 	if d, ok := c.node.downstreams.Get(owner); ok {
-		d.traceRefusal(decided, retryAfter)
+		d.traceRefusal(why.String(), retryAfter)
 		d.busy(c.node.now(), retryAfter)
 	}
 }
--- a/internal/net/node.go
+++ b/internal/net/node.go
@@ -49,6 +49,7 @@
 	loop        gnet.EventLoop
 	booted      chan struct{} // closed when loop is known
 	origin      time.Time
+	began       time.Duration // when the loop started the module
 	wall        wall
 	table       *request.Table
 	fleet       *cells.Fleet // the module that the table speaks with
@@ -155,12 +156,15 @@
 	n.loop = loop
 	close(n.booted)
 	n.do(func(now time.Duration) {
+		n.began = now
 		n.table = request.New(func(h policy.Host) request.Module {
 			n.fleet = cells.New(n.cfg.Settings.Policy, n.cfg.Seed, h, n.cfg.Plan)
 			return n.fleet
 		}, carrier{n}, &n.deadlines, n.count)
 		n.weigher = placement.NewWeigher(n.cfg.Placement.Plan, n.cfg.Settings.Policy.Zone)
 		n.turnZones(now)
+		n.watch.status.revision = n.known.Revision
+		n.watch.status.take(n.known)
 		n.members(now, policy.Cached, n.known)
 		n.listDue = now + n.listWait
 		n.table.AwaitList(n.listDue, n.cfg.Settings.Policy.LeastAim()/4)
--- a/internal/net/trace.go
+++ b/internal/net/trace.go
@@ -19,9 +19,8 @@
 	}
 }
 
-// Reasons of refusals, as the debug log tells them: for want of file descriptors, or by the decision code, which does not
-// tell its own.
-const noDescriptors, decided = "no descriptors", "decided"
+// noDescriptors is the reason of refusals for want of file descriptors; the others are the decision code's.
+const noDescriptors = "no descriptors"
 
 // traceRefusal logs that a request is refused, and why.
 func (d *downstream) traceRefusal(reason string, retryAfter time.Duration) {
--- a/internal/net/upstream.go
+++ b/internal/net/upstream.go
@@ -45,12 +45,13 @@
 		return gnet.None
 	}
 	if result, ok := u.writable(now); !ok {
+		u.traceAttempt("attempt-not-written", "result", request.Results[result], "unheard", u.node.watch.unheard(now))
 		u.conn = nil // gnet closes it after this
 		u.close(now, false, result)
 		return gnet.Close
 	}
 	u.sent = true
-	u.traceAttempt("step-sent")
+	u.traceAttempt("step-sent", "revision", u.node.watch.status.revision, "unheard", u.node.watch.unheard(now))
 	u.node.write(c, u.downstream.opening.Forward(u.until-now)) // whole: a line fits a new connection's buffer
 	if u.conn != nil {
 		u.node.count.Add("route steps written")
--- a/internal/net/watch.go
+++ b/internal/net/watch.go
@@ -16,6 +16,7 @@
 	node    *Node
 	watcher *discovery.Watcher
 	link    *discoveryLink // the connection in use; one that was dropped is left to itself
+	status  listStatus
 }
 
 var (
@@ -51,23 +52,6 @@
 	w.node.end(link.conn, false)
 }
 
-// Called counts a call.
-func (w *watch) Called(whole bool, wait time.Duration) {
-	w.node.count.Add("discovery calls")
-	w.node.trace("discovery-call", "whole", whole, "wait", wait)
-}
-
-// Crossed counts a call that is made again.
-func (w *watch) Crossed() { w.node.count.Add("discovery calls crossed by the end of their connection") }
-
-// Failed counts a call that failed.
-func (w *watch) Failed(err error, notable bool) {
-	w.node.count.Add("discovery calls failed")
-	if notable {
-		w.node.log.Warn("discovery-call-failed", "reason", err)
-	}
-}
-
 // Broken tells the module, which asks again when it sees fit. Who waits for the first list goes by the one that is held, as
 // discovery cannot be reached.
 func (w *watch) Broken(now time.Duration) {
@@ -77,8 +61,7 @@
 
 // Listed takes what discovery has told.
 func (w *watch) Listed(now time.Duration, list *discovery.List) {
-	w.node.count.Add("discovery answers")
-	w.node.trace("discovery-answer", "revision", list.Revision, "complete", list.Complete, "members", len(list.Members))
+	w.noteAnswer(now, list)
 	kind := policy.Delta
 	if list.Complete {
 		kind = policy.Full
--- a/internal/placement/weigher_test.go
+++ b/internal/placement/weigher_test.go
@@ -88,15 +88,15 @@
 	refused int
 }
 
-func (s *sent) Send(_, server string, _ time.Duration) { s.to[server]++ }
-func (s *sent) Refuse(string, time.Duration)           { s.refused++ }
-func (s *sent) Fail(string)                            { s.refused++ }
-func (s *sent) Move(string)                            {}
-func (s *sent) Tell(uint32, time.Duration)             {}
-func (s *sent) Ask(string)                             {}
-func (s *sent) Wake(time.Duration, int64)              {}
-func (s *sent) Watch(bool)                             {}
-func (s *sent) Log(string)                             {}
+func (s *sent) Send(_, server string, _ time.Duration)      { s.to[server]++ }
+func (s *sent) Refuse(string, time.Duration, policy.Reason) { s.refused++ }
+func (s *sent) Fail(string)                                 { s.refused++ }
+func (s *sent) Move(string)                                 {}
+func (s *sent) Tell(uint32, time.Duration)                  {}
+func (s *sent) Ask(string)                                  {}
+func (s *sent) Wake(time.Duration, int64)                   {}
+func (s *sent) Watch(bool)                                  {}
+func (s *sent) Log(string)                                  {}
 
 // A host that the plan loves is sent nothing while it drains, no more than its cold budget while it is cold, and
 // nothing once it has failed in a row: a weight decides where to look first, and nothing else.
--- a/internal/request/host.go
+++ b/internal/request/host.go
@@ -21,8 +21,8 @@
 	h.begin(req, server, timeout)
 }
 
-func (h host) Refuse(name string, retryAfter time.Duration) {
-	h.answer(name, rejected, func(req *request) { h.carrier.Busy(req.owner, retryAfter) })
+func (h host) Refuse(name string, retryAfter time.Duration, why policy.Reason) {
+	h.answer(name, rejected, func(req *request) { h.carrier.Busy(req.owner, retryAfter, why) })
 }
 
 func (h host) Fail(name string) {
--- a/internal/request/table.go
+++ b/internal/request/table.go
@@ -23,7 +23,7 @@
 	// Abandon ends the attempt that is out; sent tells whether it may have run.
 	Abandon(owner slot.ID) (sent bool)
 	// Busy and Failed are final answers.
-	Busy(owner slot.ID, retryAfter time.Duration)
+	Busy(owner slot.ID, retryAfter time.Duration, why policy.Reason)
 	Failed(owner slot.ID)
 	// Move sends the client of a standing connection away and ends both sides.
 	Move(owner slot.ID)
--- a/internal/request/table_test.go
+++ b/internal/request/table_test.go
@@ -48,13 +48,13 @@
 	}
 	return nil
 }
-func (b *bench) Abandon(owner slot.ID) bool          { b.tell("abandon %d", owner); return b.sent }
-func (b *bench) Busy(owner slot.ID, _ time.Duration) { b.tell("busy %d", owner) }
-func (b *bench) Failed(owner slot.ID)                { b.tell("failed %d", owner) }
-func (b *bench) Move(owner slot.ID)                  { b.tell("move %d", owner) }
-func (b *bench) Watch(bool)                          {}
-func (b *bench) Ask(string)                          {}
-func (b *bench) Log(string)                          {}
+func (b *bench) Abandon(owner slot.ID) bool                           { b.tell("abandon %d", owner); return b.sent }
+func (b *bench) Busy(owner slot.ID, _ time.Duration, _ policy.Reason) { b.tell("busy %d", owner) }
+func (b *bench) Failed(owner slot.ID)                                 { b.tell("failed %d", owner) }
+func (b *bench) Move(owner slot.ID)                                   { b.tell("move %d", owner) }
+func (b *bench) Watch(bool)                                           {}
+func (b *bench) Ask(string)                                           {}
+func (b *bench) Log(string)                                           {}
 
 func (b *bench) takeTold() []string {
 	told := b.told
@@ -178,7 +178,7 @@
 	assert.Empty(t, b.takeTold())
 	assert.Len(t, b.queue, 1)
 	host{b.Table}.Send("not a name", "u", time.Second)
-	host{b.Table}.Refuse("77", 0)
+	host{b.Table}.Refuse("77", 0, policy.NoTime)
 	host{b.Table}.Move(req.name) // does not stand
 	assert.Empty(t, b.takeTold())
 }
--- a/internal/wire/encode.go
+++ b/internal/wire/encode.go
@@ -7,6 +7,8 @@
 	"math"
 	"strconv"
 	"time"
+
+	"tealtiller/policy"
 )
 
 // Encoder appends actions to a reply. Names of requests and servers go back as they came.
@@ -72,8 +74,8 @@
 	e.end()
 }
 
-// Refuse is a final answer.
-func (e *Encoder) Refuse(request string, retryAfter time.Duration) {
+// Refuse is a final answer; the wire tells no reason.
+func (e *Encoder) Refuse(request string, retryAfter time.Duration, _ policy.Reason) {
 	e.begin("bounce")
 	e.text("requestId", request)
 	if retryAfter > 0 {
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -142,8 +142,8 @@
 	var e Encoder
 	e.For(2)
 	e.Send("r", "s", 5)
-	e.Refuse("r", 0)
-	e.Refuse("r", 7)
+	e.Refuse("r", 0, policy.NoTime)
+	e.Refuse("r", 7, policy.NoServer)
 	e.Fail("r")
 	e.Move("r")
 	e.Wake(9, 1)
--- a/policy/api.go
+++ b/policy/api.go
@@ -149,11 +149,31 @@
 	Delay    time.Duration // that it lets expect of a message; 0 where it tells no figures
 }
 
+// Reason is why a request is refused or given up, for the log.
+type Reason int
+
+// The reasons.
+const (
+	NoTime           Reason = iota // the client's time is over, or too short for another attempt
+	Overload                       // shed, as the servers are overloaded
+	AttemptsUsed                   // it has had all attempts that it may have
+	NotRepeatable                  // an attempt may have run, and another would double its effect
+	RetryBudgetSpent               // attempts beyond the first are rationed
+	NoServer                       // no server may take it in its time
+	CellLimit                      // its cell is full, or takes no more now
+)
+
+var reasons = map[Reason]string{NoTime: "no time left", Overload: "overload", AttemptsUsed: "attempts used", NotRepeatable: "not repeatable",
+	RetryBudgetSpent: "retry budget spent", NoServer: "no server", CellLimit: "cell limit"}
+
+// String is the reason as the log tells it.
+func (r Reason) String() string { return reasons[r] }
+
 // Host carries out a Balancer's actions. Requests and servers are named by their ids, attempts by their
 // number.
 type Host interface {
 	Send(request, server string, timeout time.Duration)
-	Refuse(request string, retryAfter time.Duration)
+	Refuse(request string, retryAfter time.Duration, why Reason)
 	Fail(request string)
 	Move(request string)
 	// Tell tells all siblings how long messages take at a server, named by the hash that all rank it by.
--- a/policy/example_test.go
+++ b/policy/example_test.go
@@ -13,14 +13,16 @@
 func (printer) Send(request, server string, timeout time.Duration) {
 	fmt.Println("send", request, "to", server, "within", timeout)
 }
-func (printer) Refuse(request string, _ time.Duration) { fmt.Println("refuse", request) }
-func (printer) Fail(request string)                    { fmt.Println("fail", request) }
-func (printer) Move(request string)                    { fmt.Println("move", request) }
-func (printer) Wake(time.Duration, int64)              {}
-func (printer) Tell(uint32, time.Duration)             {}
-func (printer) Ask(string)                             {}
-func (printer) Watch(bool)                             {}
-func (printer) Log(string)                             {}
+func (printer) Refuse(request string, _ time.Duration, _ policy.Reason) {
+	fmt.Println("refuse", request)
+}
+func (printer) Fail(request string)        { fmt.Println("fail", request) }
+func (printer) Move(request string)        { fmt.Println("move", request) }
+func (printer) Wake(time.Duration, int64)  {}
+func (printer) Tell(uint32, time.Duration) {}
+func (printer) Ask(string)                 {}
+func (printer) Watch(bool)                 {}
+func (printer) Log(string)                 {}
 
 func Example() {
 	b := policy.New(policy.Settings{
--- a/policy/fake_test.go
+++ b/policy/fake_test.go
@@ -25,11 +25,13 @@
 func (h *fakeHost) Send(r, s string, d time.Duration) {
 	h.add(action{name: "send", request: r, server: s, d: d})
 }
-func (h *fakeHost) Refuse(r string, d time.Duration) { h.add(action{name: "refuse", request: r, d: d}) }
-func (h *fakeHost) Fail(r string)                    { h.add(action{name: "fail", request: r}) }
-func (h *fakeHost) Move(r string)                    { h.add(action{name: "move", request: r}) }
-func (h *fakeHost) Ask(s string)                     { h.add(action{name: "ask", server: s}) }
-func (h *fakeHost) Wake(at time.Duration, n int64)   { h.add(action{name: "wake", d: at, timer: n}) }
+func (h *fakeHost) Refuse(r string, d time.Duration, _ Reason) {
+	h.add(action{name: "refuse", request: r, d: d})
+}
+func (h *fakeHost) Fail(r string)                  { h.add(action{name: "fail", request: r}) }
+func (h *fakeHost) Move(r string)                  { h.add(action{name: "move", request: r}) }
+func (h *fakeHost) Ask(s string)                   { h.add(action{name: "ask", server: s}) }
+func (h *fakeHost) Wake(at time.Duration, n int64) { h.add(action{name: "wake", d: at, timer: n}) }
 func (h *fakeHost) Tell(server uint32, d time.Duration) {
 	h.add(action{name: "tell", timer: int64(server), d: d})
 }
--- a/policy/massnode_test.go
+++ b/policy/massnode_test.go
@@ -189,13 +189,13 @@
 	return c
 }
 
-func (n *massNode) Refuse(request string, retryAfter time.Duration) {
+func (n *massNode) Refuse(request string, retryAfter time.Duration, _ Reason) {
 	if c := n.answered(request); c != nil {
 		n.run.refused(c, retryAfter)
 	}
 }
 
-func (n *massNode) Fail(request string) { n.Refuse(request, 0) }
+func (n *massNode) Fail(request string) { n.Refuse(request, 0, NoServer) }
 
 // Move sends a client away, which is told to the module once it has ended what it does now.
 func (n *massNode) Move(request string) {
--- a/policy/request.go
+++ b/policy/request.go
@@ -41,18 +41,18 @@
 	b.survey(now)
 	overload := b.overloaded()
 	r.excess = b.mayShed(r) && b.rng.Float64() < overload
-	if now >= last || r.excess && !b.many() || r.attempts >= r.most || !r.repeats(now) {
-		b.giveUp(now, r, never)
+	if why, over := b.over(now, r, last); over {
+		b.giveUp(now, r, never, why)
 		return
 	}
 	if until := b.spentUntil(now); until > now && r.attempts > 0 {
-		b.giveUp(now, r, until)
+		b.giveUp(now, r, until, RetryBudgetSpent)
 		return
 	}
 	s, ends := b.walk(now, r, overload)
 	switch {
 	case s == nil && (r.excess || ends >= last): // nothing can come of it in time
-		b.giveUp(now, r, ends)
+		b.giveUp(now, r, ends, noServer(r))
 	case s == nil:
 		b.hold(now, r, ends)
 	case b.unheard(now, r):
@@ -122,35 +122,6 @@
 	return r != nil && !r.gone && r.repeats(now) && b.passOver(now, r, r.at) != draining
 }
 
-func (b *Balancer) within(moment time.Duration, times []time.Duration) []time.Duration {
-	i, _ := slices.BinarySearch(times, moment-b.set.BudgetSpan)
-	return times[i:]
-}
-
-// spentUntil tells when the budget has a further attempt, 0 while it has. Danger: retries multiply a failure.
-func (b *Balancer) spentUntil(now time.Duration) time.Duration {
-	b.again, b.taken = b.within(now, b.again), b.within(now+1, b.taken)
-	most := b.set.SpareAttempts + b.set.AttemptShare*float64(len(b.taken))
-	if b.set.BudgetSpan <= 0 || float64(len(b.again)+1) <= most {
-		return 0
-	}
-	return append(b.again, now)[0] + b.set.BudgetSpan + 1
-}
-
-// giveUp answers at once, refused only where a repeat does no harm, to come back when the cause ends.
-func (b *Balancer) giveUp(now time.Duration, r *request, ends time.Duration) {
-	away := 2 * b.set.patience
-	if now < ends && ends < never {
-		away = ends - now
-	}
-	if r.ranAt == nil || r.class.Effect == Safe || r.class.Effect == Keyed && r.class.Scope == ScopeAll {
-		b.host.Refuse(r.id, away+time.Duration(b.rng.Float64()*float64(away)))
-	} else {
-		b.host.Fail(r.id)
-	}
-	delete(b.reqs, r.id)
-}
-
 func (b *Balancer) attach(now time.Duration, r *request, s *server) {
 	r.at = s
 	s.conns = append(s.conns, r)
--- a/policy/world_test.go
+++ b/policy/world_test.go
@@ -112,7 +112,7 @@
 	}
 }
 
-func (w *world) Refuse(r string, _ time.Duration) {
+func (w *world) Refuse(r string, _ time.Duration, _ Reason) {
 	w.trace = append(w.trace, "refuse "+r)
 	if c := w.open[r]; c != nil && c.ran != "" {
 		if c.class.Effect == Unsafe || c.class.Effect == Keyed && c.class.Scope != ScopeAll {
