Failing test: after reloads in a row a slow discovery is never heard, a drain neither

Reproduction of the incident on real processes over loopback, by a soak that plays scripts of the drain search with its own discovery, hosts, clients and signals and judges them from the pages (internal/lab/soak). Discovery answers each call after 2 s, four reloads name another address each, a host drains 0.4 s after the last one. Seen: both balancers had no list for the remaining 10.9 s and sent to the drained host 1.7 and 2.4 s too late. The search in virtual time did not find it, as its slow discovery took 1.5 s at the most and a call after a move is given up after 1.6 s.

--- a/internal/lab/drainsearch/script.go
+++ b/internal/lab/drainsearch/script.go
@@ -12,6 +12,7 @@
 // Script is one sequence of events: all that chance decides about a run.
 type Script struct {
 	Seed      uint64 // of the balancers' own random numbers
+	Length    time.Duration
 	Pushed    bool
 	Balancers int
 	Hosts     int
--- a/internal/lab/drainsearch/world.go
+++ b/internal/lab/drainsearch/world.go
@@ -40,7 +40,7 @@
 		w.balancers[i].begin(0, s.KnownAge)
 	}
 	w.schedule()
-	w.run(start + length)
+	w.run(start + s.Length)
 	if w.broken != nil {
 		w.broken.Since(start)
 	}
--- /dev/null
+++ b/internal/lab/soak/node.go
@@ -0,0 +1,234 @@
+package soak
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"tealtiller/internal/lab/drainsearch"
+	"tealtiller/internal/lab/hostlist"
+)
+
+// node is one balancer of the fleet, and the process of it that runs.
+type node struct {
+	world     *world
+	number    int
+	name      string
+	listen    string
+	folder    string
+	heard     bool // an answer that can be read was written to this process; the run's lock guards it
+	told      int  // the revision of the last such answer
+	mu        sync.Mutex
+	endpoints []*endpoint
+	process   int // in order
+	known     int // revision of the list in its configuration
+	cmd       *exec.Cmd
+	done      chan struct{}
+	serves    bool          // the front sends it new connections
+	killedAt  time.Duration // of this process; 0 while it was not
+	sigtermAt time.Duration
+}
+
+func newNode(w *world, number int) (*node, error) {
+	n := &node{world: w, number: number, name: fmt.Sprintf("n%d", number), done: make(chan struct{})}
+	n.folder = filepath.Join(w.options.Folder, n.name)
+	if err := os.MkdirAll(n.folder, 0o700); err != nil {
+		return nil, err
+	}
+	e, err := n.newEndpoint()
+	if err != nil {
+		return nil, err
+	}
+	n.endpoints = []*endpoint{e}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	n.listen = l.Addr().String()
+	return n, l.Close()
+}
+
+// current is where discovery serves it now.
+func (n *node) current() *endpoint {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.endpoints[len(n.endpoints)-1]
+}
+
+// settings are the settings of a balancer, in the form of the operators' configuration.
+const settings = `{"allowed":{"tryLimit":%d,"connectTimeout":%d,"retryAfter":true,"probing":false},"discovery":%q,"tick":4000000,"siblings":%d,
+"familyInfo":{"groups":true,"mode":%q,"messageAim":[250000000,250000000,250000000]},
+"grades":[%s],
+"invariants":{"askWithin":%d,"coldFrom":0.15,"fall":1000000000,"overloadFactor":3,"stopSendingWithin":%d,"warmAfter":22000000000}}`
+
+// window is for how long the hosts discard the repeats of a keyed request.
+const window = 2 * time.Second
+
+// config is the text of its configuration.
+func (n *node) config() string {
+	w, s := n.world, n.world.script
+	grace, attempts, keyed, plant := s.Grace, s.MaxAttempts, window, w.options.Plant
+	switch plant {
+	case LongerGrace:
+		grace += time.Second
+	case MoreAttempts:
+		attempts += 2
+	case LongerWindow:
+		keyed += 3 * time.Second
+	}
+	var grades []string
+	for _, effect := range []string{"safe", "keyed", "unsafe"} {
+		told := effect
+		if plant == SafeClasses {
+			told = "safe"
+		}
+		grades = append(grades, fmt.Sprintf(`{"name":%q,"aim":%d,"deadline":%d,"effect":%q,"dedupScope":"all","repeatWindow":%d}`,
+			effect, s.Aim, s.Deadline, told, keyed))
+	}
+	discovery, mode := "subscribe", "pass"
+	if s.Pushed {
+		discovery = "automatic"
+	}
+	if s.Proxy {
+		mode = "proxy"
+	}
+	set := fmt.Sprintf(settings, attempts, s.Connect, discovery, s.Balancers, mode, strings.Join(grades, ","), s.AskWithin, grace)
+	return fmt.Sprintf(`{"name":%q,"listen":%q,"discovery":%q,"seed":"%x","limits":{"cores":1,"memory_mb":192,"sockets":%d},"known":%s,"settings":%s}`,
+		n.name, n.listen, n.current().address(), s.Seed+uint64(n.number)+1, s.Sockets, w.list.Whole(n.known), set)
+}
+
+func (n *node) configPath() string { return filepath.Join(n.folder, "config.json") }
+
+// launch starts a process whose configuration has a list of some age.
+func (n *node) launch(knownAge time.Duration) error {
+	w := n.world
+	if err := w.ctx.Err(); err != nil {
+		return err
+	}
+	w.mu.Lock()
+	n.known = w.revisionAt(w.now() - start - knownAge)
+	text := n.config()
+	w.mu.Unlock()
+	if err := os.WriteFile(n.configPath(), []byte(text), 0o600); err != nil {
+		return err
+	}
+	log, err := os.OpenFile(filepath.Join(n.folder, "log"), os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	cmd := exec.Command(w.options.Binary)
+	cmd.Env = append(append(os.Environ(), w.options.Env...), "EDGE_CONFIG="+n.configPath(), "TMPDIR="+n.folder, "EDGE_LOG_LEVEL=debug", "EDGE_OPERATOR=")
+	cmd.Stdout, cmd.Stderr = log, log
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	n.mu.Lock()
+	n.process++
+	n.cmd, n.done, n.killedAt, n.sigtermAt = cmd, make(chan struct{}), 0, 0
+	done, process := n.done, n.process
+	n.mu.Unlock()
+	w.mu.Lock()
+	n.heard, n.told = false, 0
+	w.audit.Started(n.number, w.now(), n.known)
+	w.note(Event{Node: n.name, What: fmt.Sprintf("process %d starts with list revision %d", process, hostlist.FirstRevision+n.known)})
+	w.mu.Unlock()
+	if err := cmd.Start(); err != nil {
+		return err
+	}
+	w.group.Go(func() { n.await(cmd, log, done, process) })
+	w.group.Go(func() { n.front(process) })
+	return nil
+}
+
+// await waits for the end of a process, which breaks a rule if nobody asked for it.
+func (n *node) await(cmd *exec.Cmd, log io.Closer, done chan struct{}, process int) {
+	err := cmd.Wait()
+	close(done)
+	_ = log.Close()
+	n.mu.Lock()
+	unasked := n.killedAt == 0 && n.sigtermAt == 0 && n.process == process
+	n.mu.Unlock()
+	w := n.world
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.note(Event{Node: n.name, What: fmt.Sprintf("process %d has ended: %v", process, err)})
+	if unasked && w.ctx.Err() == nil {
+		w.broke(Break{Rule: "crash", At: w.now() - start, Node: n.name, What: fmt.Sprintf("process %d ended: %v", process, err)})
+	}
+}
+
+// readyWithin is how soon a process has to answer the front.
+const readyWithin = 10 * time.Second
+
+// front takes in a process once it has answered PING with PONG.
+func (n *node) front(process int) {
+	w := n.world
+	due := w.now() + readyWithin
+	for w.now() < due && n.runs(process) && w.ctx.Err() == nil {
+		if n.pings() {
+			n.mu.Lock()
+			n.serves = n.process == process && n.sigtermAt == 0 && n.killedAt == 0
+			n.mu.Unlock()
+			w.mu.Lock()
+			w.note(Event{Node: n.name, What: fmt.Sprintf("process %d is ready", process)})
+			w.mu.Unlock()
+			return
+		}
+		w.sleep(20 * time.Millisecond)
+	}
+	if w.ctx.Err() == nil && n.runs(process) {
+		w.mu.Lock()
+		w.broke(Break{Rule: "ready", At: w.now() - start, Node: n.name, What: "not ready within 10 s"})
+		w.mu.Unlock()
+	}
+}
+
+// runs tells whether a process runs and was not told to end.
+func (n *node) runs(process int) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.process == process && n.sigtermAt == 0 && n.killedAt == 0
+}
+
+func (n *node) pings() bool {
+	c, err := net.DialTimeout("tcp", n.listen, time.Second)
+	if err != nil {
+		return false
+	}
+	defer c.Close()
+	_ = c.SetDeadline(time.Now().Add(time.Second))
+	if _, err := io.WriteString(c, "PING\r\n"); err != nil {
+		return false
+	}
+	answer := make([]byte, len("PONG"))
+	_, err = io.ReadFull(c, answer)
+	return err == nil && string(answer) == "PONG"
+}
+
+// kill ends the process without a word.
+func (n *node) kill() {
+	n.mu.Lock()
+	cmd, done := n.cmd, n.done
+	n.serves = false
+	if n.killedAt == 0 {
+		n.killedAt = n.world.now()
+	}
+	n.mu.Unlock()
+	if cmd != nil && cmd.Process != nil {
+		_ = cmd.Process.Kill()
+		<-done
+	}
+}
+
+// crash kills the process and starts another one.
+func (n *node) crash(r drainsearch.Restart) {
+	n.kill()
+	if n.world.sleep(r.Down) {
+		_ = n.launch(r.KnownAge)
+	}
+}
--- /dev/null
+++ b/internal/lab/soak/script.go
@@ -0,0 +1,113 @@
+// Package soak plays real balancer processes on loopback sockets under faults that are drawn from a seed: it takes the
+// place of discovery, of the hosts, of the front and of the clients, sends the signals, and judges what it saw from the
+// operators' pages alone. It imports nothing of the balancer but its laboratory.
+package soak
+
+import (
+	"time"
+
+	"tealtiller/internal/lab/drainsearch"
+)
+
+// Script is one run: all that chance decides about it. What happens to the host list and on the way to discovery is a
+// script of the search in virtual time; the rest can be played on sockets alone.
+type Script struct {
+	drainsearch.Script
+	Proxy        bool          // connections end at the balancer; else packets pass through
+	MaxAttempts  int           // of one request
+	Deadline     time.Duration // of all classes
+	Sockets      int           // file descriptors of a balancer; 0: no limit of its own
+	Terminations []Termination
+	HostFaults   []HostFault
+	Crowds       []Crowd
+	Resting      []Resting
+	Pauses       []Pause
+	// GoneStaysUp has hosts that have gone from the list still take connections, so that a request to one is seen.
+	GoneStaysUp bool
+}
+
+// Termination is a planned restart: SIGTERM, SIGKILL at the earliest moment that the pages allow, then a new process.
+type Termination struct {
+	At       time.Duration
+	Balancer int
+	KnownAge time.Duration // how old the list in the new process's configuration is
+}
+
+// HostFaultKind is a kind of trouble at a host.
+type HostFaultKind int
+
+// The kinds of trouble at hosts.
+const (
+	HostHangs  HostFaultKind = iota // it takes connections and lines, and answers nothing
+	HostResets                      // it resets all that it holds, at the start of the span
+	HostDelays                      // each answer comes up to 300 ms late
+	HostPieces                      // answers come in pieces of a byte
+	hostFaultKinds
+)
+
+// HostFault is trouble at one host.
+type HostFault struct {
+	Kind     HostFaultKind
+	Host     int
+	From, To time.Duration
+}
+
+// Crowd is idle connections to one balancer, which say nothing.
+type Crowd struct {
+	Balancer    int
+	From, To    time.Duration
+	Connections int
+}
+
+// Resting is a client that connects, says nothing, and sends its request later on that connection.
+type Resting struct {
+	Balancer int
+	At       time.Duration // it connects
+	Asks     time.Duration // it sends its request, so long after that
+}
+
+// Pause stops a process and lets it go on (SIGSTOP, SIGCONT).
+type Pause struct {
+	At       time.Duration
+	Balancer int
+	For      time.Duration
+}
+
+// Options change how a run is played.
+type Options struct {
+	Binary string   // the balancer
+	Env    []string // of its processes, beside what the run sets
+	Folder string   // for configurations and logs
+	// Plant is a fault in the run's own configuration that the judge has to find.
+	Plant Plant
+}
+
+// Plant is a planted fault.
+type Plant int
+
+// The planted faults. Each is a setting or a signal that differs from what the judge goes by.
+const (
+	Nothing      Plant = iota
+	LongerGrace        // the balancer takes the drain grace as 1 s longer
+	LateCalls          // its calls to discovery arrive 1 s late
+	MoreAttempts       // it may make two attempts more
+	LongerWindow       // it takes the window of repeats as 3 s longer
+	EarlyKill          // it is killed 0.1 s after SIGTERM
+	SafeClasses        // it takes all classes for ones that may be repeated
+	plants
+)
+
+// Names of the planted faults.
+var plantNames = map[Plant]string{LongerGrace: "longer_grace", LateCalls: "late_calls", MoreAttempts: "more_attempts",
+	LongerWindow: "longer_window", EarlyKill: "early_kill", SafeClasses: "safe_classes"}
+
+// String is the name of a planted fault.
+func (p Plant) String() string { return plantNames[p] }
+
+// Plants are all planted faults.
+func Plants() (all []Plant) {
+	for p := LongerGrace; p < plants; p++ {
+		all = append(all, p)
+	}
+	return all
+}
--- /dev/null
+++ b/internal/lab/soak/signals.go
@@ -0,0 +1,124 @@
+package soak
+
+import (
+	"fmt"
+	"os"
+	"syscall"
+	"time"
+)
+
+// signal sends a signal to the process that runs, unless it was told to end.
+func (n *node) signal(s syscall.Signal) (process int, ok bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.cmd == nil || n.cmd.Process == nil || n.killedAt > 0 || n.sigtermAt > 0 || !n.serves {
+		return 0, false
+	}
+	if s == syscall.SIGTERM {
+		n.sigtermAt = n.world.now()
+	}
+	return n.process, n.cmd.Process.Signal(s) == nil
+}
+
+// note adds what happens to this balancer to the record of the run.
+func (n *node) note(format string, args ...any) {
+	n.world.mu.Lock()
+	defer n.world.mu.Unlock()
+	n.world.note(Event{Node: n.name, What: fmt.Sprintf(format, args...)})
+}
+
+// leavesAfter is how long after a move the old discovery ends the connections that it has.
+const leavesAfter = 1500 * time.Millisecond
+
+// reload replaces the configuration and sends SIGHUP; where discovery moves, the new file names another address.
+func (n *node) reload(moves bool) {
+	w := n.world
+	n.mu.Lock()
+	ready := n.serves && n.sigtermAt == 0 && n.killedAt == 0
+	n.mu.Unlock()
+	if !ready { // no SIGHUP comes before a process is ready
+		return
+	}
+	if moves {
+		old := n.current()
+		e, err := n.newEndpoint()
+		if err != nil {
+			return
+		}
+		n.mu.Lock()
+		n.endpoints = append(n.endpoints, e)
+		n.mu.Unlock()
+		w.group.Go(func() { old.leave(leavesAfter) })
+	}
+	w.mu.Lock()
+	text := n.config()
+	w.mu.Unlock()
+	// The file is replaced whole, as operators do: a file half written would be refused.
+	next := n.configPath() + ".next"
+	if os.WriteFile(next, []byte(text), 0o600) != nil || os.Rename(next, n.configPath()) != nil {
+		return
+	}
+	w.mu.Lock()
+	if moves {
+		w.audit.Reloaded(n.number, w.now())
+		n.heard = false
+	}
+	w.mu.Unlock()
+	n.note("SIGHUP, discovery moves: %v", moves)
+	_, _ = n.signal(syscall.SIGHUP)
+}
+
+// Of a planned restart: for how long clients still come, how long after the longest deadline the process may be killed, and
+// what the deadline counts as at the most.
+const (
+	frontNotices    = 300 * time.Millisecond
+	killMargin      = 700 * time.Millisecond
+	longestDeadline = 3 * time.Second
+	earlyKill       = 100 * time.Millisecond // of the planted fault
+)
+
+// terminate sends SIGTERM, SIGKILL at the earliest, and starts a new process.
+func (n *node) terminate(t Termination) {
+	w := n.world
+	if _, ok := n.signal(syscall.SIGTERM); !ok {
+		return
+	}
+	n.note("SIGTERM")
+	killAt := w.now() + min(w.script.Deadline, longestDeadline) + killMargin
+	if w.options.Plant == EarlyKill {
+		killAt = w.now() + earlyKill
+	}
+	if !w.sleep(frontNotices) {
+		return
+	}
+	n.mu.Lock()
+	n.serves = false
+	done := n.done
+	n.mu.Unlock()
+	select {
+	case <-time.After(killAt - w.now()):
+		n.note("SIGKILL, %v after SIGTERM", killMargin+min(w.script.Deadline, longestDeadline))
+		n.kill()
+	case <-done:
+		n.mu.Lock()
+		n.killedAt = w.now()
+		n.mu.Unlock()
+	case <-w.ctx.Done():
+		return
+	}
+	_ = n.launch(t.KnownAge)
+}
+
+// pause stops the process for a while.
+func (n *node) pause(d time.Duration) {
+	if _, ok := n.signal(syscall.SIGSTOP); !ok {
+		return
+	}
+	n.note("SIGSTOP for %v", d)
+	n.world.sleep(d)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.cmd != nil && n.cmd.Process != nil {
+		_ = n.cmd.Process.Signal(syscall.SIGCONT)
+	}
+}
--- /dev/null
+++ b/internal/lab/soak/world.go
@@ -0,0 +1,280 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"slices"
+	"sync"
+	"time"
+
+	"tealtiller/internal/lab/drainaudit"
+	"tealtiller/internal/lab/drainsearch"
+	"tealtiller/internal/lab/hostlist"
+)
+
+// start is where the clock of a run begins, so that what happened before the first process has a moment too.
+const start = time.Minute
+
+// world is one run. One lock guards what its goroutines share.
+type world struct {
+	script  *Script
+	options Options
+	origin  time.Time
+	ctx     context.Context
+	stop    context.CancelFunc
+	group   sync.WaitGroup
+	jitter  *jitter
+
+	mu       sync.Mutex
+	audit    *drainaudit.Audit
+	list     *hostlist.History
+	news     chan struct{} // closed at each change of the list
+	hosts    []*host
+	nodes    []*node
+	requests map[string]*requestRecord
+	breaks   []Break
+	events   []Event
+}
+
+// Break is a broken rule.
+type Break struct {
+	Rule    string
+	At      time.Duration
+	Node    string
+	Host    string
+	Request string
+	What    string
+}
+
+func (b Break) String() string {
+	return fmt.Sprintf("%8.3f  %s: %s (balancer %s, host %s, request %s)", b.At.Seconds(), b.Rule, b.What, b.Node, b.Host, b.Request)
+}
+
+// Event is one line of the record of a run.
+type Event struct {
+	At      time.Duration // since the start of the run
+	Node    string
+	Host    string
+	Request string
+	What    string
+}
+
+// Result is what a run has shown.
+type Result struct {
+	Breaks   []Break
+	Requests int
+	Answers  map[string]int // by their first word; "none" where there was none
+	Attempts int
+	Lines    int           // answered on standing connections
+	Late     time.Duration // the longest hold-up of the run's own clock
+	Events   []Event
+}
+
+// Play plays a script.
+func Play(script *Script, options Options) (*Result, error) {
+	if err := os.MkdirAll(options.Folder, 0o700); err != nil {
+		return nil, err
+	}
+	w := &world{script: script, options: options, origin: time.Now(), news: make(chan struct{}), requests: map[string]*requestRecord{},
+		audit: drainaudit.New(drainaudit.Rules{Pushed: script.Pushed, Grace: script.Grace, AskWithin: script.AskWithin})}
+	w.ctx, w.stop = context.WithCancel(context.Background())
+	w.jitter = newJitter(w)
+	defer w.close()
+	if err := w.startHosts(); err != nil {
+		return nil, err
+	}
+	w.firstChanges()
+	for _, f := range script.Faults {
+		if f.Kind == drainsearch.Outage {
+			w.audit.Outage(start+f.From, start+f.To)
+		}
+	}
+	for i := range script.Balancers {
+		n, err := newNode(w, i)
+		if err != nil {
+			return nil, err
+		}
+		w.nodes = append(w.nodes, n)
+	}
+	w.origin = time.Now()
+	for _, n := range w.nodes {
+		if err := n.launch(script.KnownAge); err != nil {
+			return nil, err
+		}
+	}
+	w.schedule()
+	w.sleepUntil(start + script.Length)
+	w.close()
+	w.judgeRequests()
+	return w.result(), nil
+}
+
+// schedule starts all that the script tells, each at its time.
+func (w *world) schedule() {
+	s := w.script
+	for _, c := range s.Changes {
+		if c.At > 0 {
+			w.at(c.At, func() { w.change(c) })
+		}
+	}
+	for _, f := range s.Faults {
+		w.at(f.From, func() { w.strike(f) })
+	}
+	for _, f := range s.HostFaults {
+		w.at(f.From, func() { w.hosts[f.Host].strike(f) })
+	}
+	for _, r := range s.Reloads {
+		w.at(r.At, func() { w.nodes[r.Balancer].reload(r.Moves) })
+	}
+	for _, r := range s.Restarts {
+		w.at(r.At, func() { w.nodes[r.Balancer].crash(r) })
+	}
+	for _, t := range s.Terminations {
+		w.at(t.At, func() { w.nodes[t.Balancer].terminate(t) })
+	}
+	for _, p := range s.Pauses {
+		w.at(p.At, func() { w.nodes[p.Balancer].pause(p.For) })
+	}
+	for _, c := range s.Crowds {
+		w.at(c.From, func() { w.crowd(c) })
+	}
+	for i, r := range s.Requests {
+		w.at(r.At, func() { w.client(i, r) })
+	}
+	for i, r := range s.Resting {
+		w.at(r.At, func() { w.restingClient(i, r) })
+	}
+}
+
+// at has something done at a moment of the script, unless the run has ended by then.
+func (w *world) at(when time.Duration, do func()) {
+	w.group.Go(func() {
+		if w.sleepUntil(start + when) {
+			do()
+		}
+	})
+}
+
+func (w *world) now() time.Duration { return start + time.Since(w.origin) }
+
+// sleepUntil waits until a moment; false if the run has ended by then.
+func (w *world) sleepUntil(moment time.Duration) bool { return w.sleep(moment - w.now()) }
+
+func (w *world) sleep(d time.Duration) bool {
+	select {
+	case <-time.After(d):
+		return true
+	case <-w.ctx.Done():
+		return false
+	}
+}
+
+// firstChanges are those from before the first process.
+func (w *world) firstChanges() {
+	for _, c := range w.script.Changes {
+		if c.At <= 0 {
+			w.change(c)
+		}
+	}
+}
+
+// change has discovery know a change of the list. An agent learns nothing in an outage, and all at its end.
+func (w *world) change(c drainsearch.Change) {
+	if f := w.fault(drainsearch.Outage, 0); w.script.Pushed && f != nil {
+		if !w.sleepUntil(start + f.To) {
+			return
+		}
+	}
+	h := w.hosts[c.Host]
+	w.mu.Lock()
+	at := w.now()
+	if c.At <= 0 {
+		at = start + c.At
+	}
+	to := h.listed
+	to.Phase = c.Phase
+	w.mu.Unlock()
+	if c.Phase == drainaudit.InService {
+		to.StartedMS = time.Now().UnixMilli()
+		to.Address = h.restart(c.Moves)
+	}
+	w.mu.Lock()
+	h.listed = to
+	revision := w.list.Change(c.Host, to)
+	w.audit.Changed(at, to.ID, c.Phase)
+	w.note(Event{Host: to.ID, What: fmt.Sprintf("list revision %d: %s", hostlist.FirstRevision+revision, hostlist.PhaseNames[c.Phase])})
+	close(w.news)
+	w.news = make(chan struct{})
+	w.mu.Unlock()
+	if c.Phase == drainaudit.Terminated && !w.script.GoneStaysUp {
+		h.halt()
+	}
+}
+
+// revisionAt is the revision that discovery had at a moment of the script.
+func (w *world) revisionAt(at time.Duration) (revision int) {
+	for _, c := range w.script.Changes {
+		if c.At <= at && revision < w.list.Revision() {
+			revision++
+		}
+	}
+	return revision
+}
+
+// fault is the trouble of a kind that a balancer has now; nil if it has none.
+func (w *world) fault(kind drainsearch.FaultKind, balancer int) *drainsearch.Fault {
+	now := w.now()
+	for i := range w.script.Faults {
+		f := &w.script.Faults[i]
+		mine := f.Balancer < 0 || f.Balancer == balancer
+		if f.Kind == kind && mine && start+f.From <= now && now < start+f.To {
+			return f
+		}
+	}
+	return nil
+}
+
+// note adds to the record of the run; the lock is held.
+func (w *world) note(e Event) {
+	e.At = w.now() - start
+	w.events = append(w.events, e)
+}
+
+// broke notes a broken rule; the lock is held.
+func (w *world) broke(b Break) {
+	w.breaks = append(w.breaks, b)
+	w.note(Event{Node: b.Node, Host: b.Host, Request: b.Request, What: "BROKEN " + b.Rule + ": " + b.What})
+}
+
+// result is what the run has shown.
+func (w *world) result() *Result {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	r := &Result{Breaks: w.breaks, Answers: map[string]int{}, Late: w.jitter.worst(0, never), Events: w.events}
+	for _, q := range w.requests {
+		if !q.sent() {
+			continue
+		}
+		r.Requests++
+		r.Answers[q.answerWord()]++
+		r.Attempts += len(q.attempts)
+		r.Lines += q.lines
+	}
+	slices.SortFunc(r.Breaks, func(a, b Break) int { return int(a.At - b.At) })
+	return r
+}
+
+// close ends the processes and the stand-ins.
+func (w *world) close() {
+	w.stop()
+	for _, n := range w.nodes {
+		n.kill()
+	}
+	for _, h := range w.hosts {
+		h.halt()
+	}
+	w.group.Wait()
+}
+
+const never = time.Duration(1<<63 - 1)
