Calls to a slow discovery stay open beside the next one in place of being begun anew

Seen: after a move of discovery a call was given up after 1.6 s and begun anew, for ever (Clock.Call, case moved, and Watcher.ask, which dropped the connection at the limit). A discovery that takes longer is reachable and never heard; a drain counts as told 6 s after it had it. Ruled out: a silent discovery (it would answer the next call at once), the gate before the first byte (the process did not know).

The class of the fault: a time limit shorter than the service, and all progress thrown away at it. The same in related code: quick calls after a silent watch (0.8 and 0.6 s), the second call for the whole list (1.9 s), calls to an agent (50 ms). So the mend is in the watcher, for all: an overdue call stays open, the next one is made beside it on its own connection, the first answer that is not older is taken and the watch goes on there; four connections at the most, ten seconds an overdue call. Calls are begun no oftener than before. After two calls to a moved discovery the next ones are spaced by 3.3 s.

--- a/internal/discovery/client_test.go
+++ b/internal/discovery/client_test.go
@@ -14,6 +14,22 @@
 const list = `{"revision":43,"complete":false,"later":{"a":[1]},"members":[
   {"id":"s-5be2a07c","host_port":"10.1.0.18:3000","locality":"a","flavor":"m2","cell":3,"phase":"terminating","size":1.5,"up_since_ms":1700000000123}]}`
 
+// client is a session with the one exchange that most tests need.
+type client struct {
+	*Session
+	Exchange
+}
+
+func newClient(host string, revision int64) *client {
+	return &client{Session: NewSession(host, revision)}
+}
+
+func (c *client) Call(wait time.Duration) []byte { return c.Exchange.Call(c.Session, wait) }
+
+func (c *client) Feed(data []byte, ended bool) (*List, bool, error) {
+	return c.Exchange.Feed(c.Session, data, ended)
+}
+
 func TestParse(t *testing.T) {
 	got, err := Parse([]byte(list))
 	require.NoError(t, err)
@@ -41,7 +57,7 @@
 
 // An answer may come byte by byte; the next call asks for what is newer than it told.
 func TestAnswerInParts(t *testing.T) {
-	c := NewClient("1.2.3.4:5", 41)
+	c := newClient("1.2.3.4:5", 41)
 	assert.Equal(t, "GET /discovery/hosts?since=41&timeout_ms=8000 HTTP/1.1\r\nHost: 1.2.3.4:5\r\n\r\n", string(c.Call(8*time.Second)))
 	text := answer("200 OK", list)
 	for i := range len(text) - 1 {
@@ -58,11 +74,11 @@
 
 func TestOtherForms(t *testing.T) {
 	chunked := fmt.Sprintf("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(list), list)
-	got, keep, err := NewClient("h", 1).Feed([]byte(chunked), false)
+	got, keep, err := newClient("h", 1).Feed([]byte(chunked), false)
 	require.NoError(t, err)
 	assert.True(t, got != nil && keep)
 	closing := "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n" + list
-	c := NewClient("h", 1)
+	c := newClient("h", 1)
 	got, _, err = c.Feed([]byte(closing), false)
 	require.NoError(t, err)
 	require.Nil(t, got, "the end of the connection ends it")
@@ -74,21 +90,21 @@
 func TestFailedCalls(t *testing.T) {
 	for name, text := range map[string]string{"503": answer("503 Service Unavailable", "busy"), "no HTTP": "what\r\n\r\n",
 		"bad list": answer("200 OK", `{"revision":9}`)} {
-		c := NewClient("h", 1)
+		c := newClient("h", 1)
 		got, _, err := c.Feed([]byte(text), false)
 		assert.Error(t, err, name)
 		assert.Nil(t, got, name)
 		assert.Contains(t, string(c.Call(0)), "since=1&", name)
 	}
-	_, _, err := NewClient("h", 1).Feed([]byte(answer("200 OK", list)[:60]), true)
+	_, _, err := newClient("h", 1).Feed([]byte(answer("200 OK", list)[:60]), true)
 	assert.Error(t, err, "broken off")
-	_, _, err = NewClient("h", 1).Feed(make([]byte, mostAnswer+1), false)
+	_, _, err = newClient("h", 1).Feed(make([]byte, mostAnswer+1), false)
 	assert.Error(t, err, "without an end")
 }
 
 // Of a discovery that has told nothing yet the whole list is asked for, until it comes.
 func TestWholeListFirst(t *testing.T) {
-	c := NewClient("1.2.3.4:5", None)
+	c := newClient("1.2.3.4:5", None)
 	const whole = "GET /discovery/hosts HTTP/1.1\r\nHost: 1.2.3.4:5\r\n\r\n"
 	assert.Equal(t, whole, string(c.Call(time.Second)))
 	_, _, err := c.Feed([]byte(answer("200 OK", list)), false)
@@ -102,7 +118,7 @@
 // A list that is older than one told before is no news, whole or a part; the next call asks for the whole.
 func TestOlderListsAreRefused(t *testing.T) {
 	for name, complete := range map[string]bool{"whole": true, "a part": false} {
-		c := NewClient("h", 43)
+		c := newClient("h", 43)
 		got, _, err := c.Feed([]byte(answer("200 OK", body(42, complete, entry("s-1", 1, "in_service")))), false)
 		assert.ErrorIs(t, err, ErrOlder, name)
 		assert.ErrorIs(t, err, ErrUnreadable, name)
@@ -130,7 +146,7 @@
 func FuzzFeed(f *testing.F) {
 	f.Add([]byte(answer("200 OK", list)), true)
 	f.Fuzz(func(t *testing.T, raw []byte, ended bool) {
-		c := NewClient("h", 1)
+		c := newClient("h", 1)
 		if got, _, err := c.Feed(raw, ended); err != nil {
 			assert.Nil(t, got)
 		}
--- a/internal/discovery/clock.go
+++ b/internal/discovery/clock.go
@@ -23,7 +23,7 @@
 // Call is how one call is made.
 type Call struct {
 	Wait  time.Duration // discovery may hold its answer back so long; a call for the whole list waits for nothing
-	Limit time.Duration // from the call to its answer; then it is lost
+	Limit time.Duration // from the call to its answer; then it is overdue, and the next one follows
 	Dial  time.Duration // for the connection to come up
 }
 
@@ -43,6 +43,7 @@
 	secondDial = 400 * time.Millisecond
 	// After a move of discovery all counts as told 4 s later: two calls must fit.
 	movedLimit = 1600 * time.Millisecond
+	movedCalls = 2
 	dialLimit  = time.Second
 	quickCalls = 3 // in a row without an answer, then the module spaces them
 	noWait     = time.Millisecond
@@ -62,8 +63,10 @@
 			return Call{Wait: noWait, Limit: g / 10, Dial: g / 10}
 		}
 		return Call{Wait: g / 2, Limit: g/2 + g/10, Dial: g / 10}
-	case c.moved:
+	case c.moved && c.lost < movedCalls:
 		return Call{Limit: movedLimit, Dial: secondDial}
+	case c.moved:
+		return Call{Limit: wholeLimit, Dial: secondDial}
 	case whole && c.lost > 0:
 		return Call{Limit: secondCall, Dial: secondDial}
 	case whole:
--- a/internal/discovery/large_test.go
+++ b/internal/discovery/large_test.go
@@ -68,7 +68,7 @@
 	}
 	for name, text := range map[string]string{"told length": answer("200 OK", list), "chunked": chunked + "0\r\n\r\n"} {
 		t.Run(name, func(t *testing.T) {
-			c := NewClient("h", None)
+			c := newClient("h", None)
 			for len(text) > segment {
 				got, _, err := c.Feed([]byte(text[:segment]), false)
 				require.NoError(t, err)
--- a/internal/discovery/mutation_test.go
+++ b/internal/discovery/mutation_test.go
@@ -42,7 +42,7 @@
 
 // holder keeps the list as the module does, as far as these runs need it.
 type holder struct {
-	client *Client
+	client *client
 	phases map[string]policy.State
 }
 
@@ -94,7 +94,7 @@
 			run = append(run, mutation.Message{From: "discovery", To: "n1", Kind: form, Body: []byte(text)})
 		}
 		play := func(name string, run []mutation.Message) (h *holder) {
-			h = &holder{client: NewClient("h", None)}
+			h = &holder{client: newClient("h", None)}
 			rng := rand.New(rand.NewPCG(1, 2))
 			for _, m := range run {
 				older := h.client.revision
@@ -109,7 +109,7 @@
 		for c := range mutation.Cases(run, mutation.Text{Places: 60}) {
 			cases++
 			h := play(c.String(), c.Run)
-			h.client = NewClient("h", None) // as after a move, or a failure that left nothing to go by
+			h.client = newClient("h", None) // as after a move, or a failure that left nothing to go by
 			text, ends := wrap(truth)
 			assert.False(t, h.take(t, text, ends, rand.New(rand.NewPCG(3, 4))), c.String())
 			require.Equal(t, want, h.phases, c.String())
--- a/internal/discovery/news.go
+++ b/internal/discovery/news.go
@@ -21,7 +21,7 @@
 		w.olderAt = now
 	}
 	if now-w.olderAt >= restartedAfter {
-		w.client.Restarted()
+		w.session.Restarted()
 	}
 }
 
@@ -30,11 +30,11 @@
 const promptAnswer = 100 * time.Millisecond
 
 // toldSince is since when the news of an answer may count as told. After a failed call, and at first, nothing is known.
-func (w *Watcher) toldSince(now time.Duration) time.Duration {
+func (w *Watcher) toldSince(now time.Duration, c *connection) time.Duration {
 	switch {
 	case w.heardAt == 0 || w.fails > 0:
 		return policy.LongAgo
-	case now-w.link.asked < promptAnswer:
+	case now-c.asked < promptAnswer:
 		return w.heardAt
 	}
 	return now
--- a/internal/discovery/watcher.go
+++ b/internal/discovery/watcher.go
@@ -2,51 +2,19 @@
 
 import (
 	"errors"
+	"slices"
 	"time"
 
 	"tealtiller/internal/deadline"
 )
 
-// Transport is the connection to discovery that a Watcher decides on. There is one at a time: once a Watcher has dialled
-// anew, or dropped the connection, nothing that happens on the earlier one is told to it.
+// Transport makes the connections to discovery that a Watcher decides on; it knows each by its number.
 type Transport interface {
 	// Dial makes a connection, which Connected or Closed tells of within the limit.
-	Dial(now time.Duration, address string, limit time.Duration)
-	Send(request []byte)
-	// Drop leaves the connection, also one that is not up yet.
-	Drop()
-}
-
-// Observer hears what comes of the calls.
-type Observer interface {
-	Called(call CallStart)
-	// Crossed tells that a call crossed the end of a kept connection and is made again.
-	Crossed()
-	Failed(now time.Duration, failure CallFailure)
-	// Broken tells that the watch is off until Watch turns it on again.
-	Broken(now time.Duration)
-	Listed(now time.Duration, list *List)
-}
-
-// CallStart describes a call as it is written.
-type CallStart struct {
-	Connection int // the number of its connection, of all that were made
-	Address    string
-	Since      int64         // the revision that is held; None asks for the whole list
-	Wait       time.Duration // discovery may hold its answer back so long
-	Limit      time.Duration // from the call to its answer
-}
-
-// CallFailure describes a call, or an attempt to connect, that has failed.
-type CallFailure struct {
-	Connection int
-	Address    string
-	Err        error
-	Took       time.Duration // since the call, or since the connection was asked for
-	InRow      int           // failures since the last answer
-	Again      bool          // the watcher calls again by itself,
-	After      time.Duration // after this
-	Notable    bool          // it is worth a line of the log
+	Dial(now time.Duration, connection int, address string, limit time.Duration)
+	Send(connection int, request []byte)
+	// Drop leaves a connection, also one that is not up yet; nothing is told of it any more.
+	Drop(connection int)
 }
 
 // Errors of calls that failed without an answer that could be read.
@@ -59,25 +27,40 @@
 // crossingWindow is how soon after a call the end of a kept connection means that the two crossed.
 const crossingWindow = 200 * time.Millisecond
 
-// Watcher keeps the watch on the host list: one connection to discovery, one call at a time on it. It holds no socket and
-// reads no clock: events come in with their time, a Transport and an Observer carry out what follows.
+// Watcher keeps the watch on the host list by calls to discovery. It holds no socket and reads no clock: events come in with
+// their time, a Transport and an Observer carry out what follows.
+//
+// A call that is overdue is hedged: the next one is made on a connection of its own, and the overdue one stays open for its
+// answer. Danger: a discovery that is slow, given up each time before its answer, would never be heard, and what an
+// abandoned call was about to tell counts as told.
 type Watcher struct {
 	Clock
-	transport Transport
-	observer  Observer
-	deadlines *deadline.Queue
-	address   string
-	client    *Client
-	on        bool
-	link      connection
-	heardAt   time.Duration // when this discovery last answered; 0 before
-	olderAt   time.Duration // when it first told an older list since then; 0 if it has not
-}
-
-// connection is the one in use.
+	transport   Transport
+	observer    Observer
+	deadlines   *deadline.Queue
+	session     *Session
+	address     string
+	on          bool          // a call is under way, or the next one is due by itself
+	connections []*connection // in order of age; all but one at the most are overdue
+	made        int           // of all connections, the number of the newest
+	retry       *deadline.Deadline
+	heardAt     time.Duration // when this discovery last answered; 0 before
+	olderAt     time.Duration // when it first told an older list since then; 0 if it has not
+}
+
+// mostConnections is how many calls are open at a time, overdue ones included; one more ends the oldest. Each is spaced from
+// the next by the limit of its call, so the oldest has had 2.6 s and more, and all that a busy discovery holds of ours is
+// what we would have asked of it anyhow.
+const mostConnections = 4
+
+// overdueLife is how long an overdue call stays open at the most.
+const overdueLife = 10 * time.Second
+
+// connection is one connection to discovery and the call on it.
 type connection struct {
-	state     connectionState
-	number    int // of all connections, so that a deadline of an earlier one finds itself stale
+	number    int
+	exchange  Exchange
+	overdue   bool
 	dialled   time.Duration
 	dialLimit time.Duration
 	calls     int // made on it
@@ -87,18 +70,10 @@
 	limit     *deadline.Deadline
 }
 
-type connectionState int
-
-const (
-	unconnected connectionState = iota
-	dialling
-	connected
-)
-
 // NewWatcher makes a watcher of the discovery at an address; it holds no list yet.
 func NewWatcher(address string, transport Transport, observer Observer, deadlines *deadline.Queue) *Watcher {
 	return &Watcher{Clock: Clock{Least: LeastGrace}, transport: transport, observer: observer, deadlines: deadlines,
-		address: address, client: NewClient(address, None)}
+		address: address, session: NewSession(address, None)}
 }
 
 // Address is where discovery is.
@@ -115,138 +90,212 @@
 	if w.on = on; on {
 		w.dial(now)
 	} else {
-		w.drop()
+		w.dropAll()
 	}
 }
 
 // MoveTo goes over to another discovery, at once and with no failure told: a call that was put off after a failure was
 // for the old one. The list stays until the new one tells the whole of its own.
 func (w *Watcher) MoveTo(now time.Duration, address string) {
-	w.address, w.client = address, NewClient(address, None)
+	w.address, w.session = address, NewSession(address, None)
 	w.Moved()
 	w.heardAt, w.olderAt = 0, 0
-	w.drop()
+	w.dropAll()
 	w.on = true
 	w.dial(now)
 }
 
+// current is the connection whose call is not overdue; nil if there is none.
+func (w *Watcher) current() *connection {
+	if i := slices.IndexFunc(w.connections, func(c *connection) bool { return !c.overdue }); i >= 0 {
+		return w.connections[i]
+	}
+	return nil
+}
+
+// find is the connection of a number; nil if it was dropped.
+func (w *Watcher) find(number int) *connection {
+	if i := slices.IndexFunc(w.connections, func(c *connection) bool { return c.number == number }); i >= 0 {
+		return w.connections[i]
+	}
+	return nil
+}
+
+// dial begins a connection for the next call.
 func (w *Watcher) dial(now time.Duration) {
-	limit := w.Call(w.client.Whole()).Dial
-	w.link = connection{state: dialling, number: w.link.number + 1, dialled: now, dialLimit: limit}
-	w.transport.Dial(now, w.address, limit)
-}
-
-// ask makes the next call on the connection, at once: a watch lasts only as long as calls follow closely.
-func (w *Watcher) ask(now time.Duration) {
-	link := &w.link
-	link.waiting, link.heard, link.asked = true, false, now
-	link.calls++
-	call := w.Call(w.client.Whole())
-	number := link.number
-	link.limit = w.deadlines.Set(now+call.Limit, func(now time.Duration) {
-		if w.link.number == number && w.link.state == connected {
-			w.failed(now, errNoAnswer, Silent)
-		}
-	})
-	w.observer.Called(CallStart{Connection: number, Address: w.address, Since: w.client.revision, Wait: call.Wait, Limit: call.Limit})
-	w.transport.Send(w.client.Call(call.Wait))
+	w.deadlines.Stop(w.retry)
+	if len(w.connections) >= mostConnections {
+		w.drop(w.connections[0])
+	}
+	limit := w.Call(w.session.Whole()).Dial
+	w.made++
+	c := &connection{number: w.made, dialled: now, dialLimit: limit}
+	w.connections = append(w.connections, c)
+	w.transport.Dial(now, c.number, w.address, limit)
 }
 
-// drop leaves the connection in use, if there is one.
-func (w *Watcher) drop() {
-	if w.link.state == unconnected {
-		return
+// ask makes the next call on a connection, at once: a watch lasts only as long as calls follow closely.
+func (w *Watcher) ask(now time.Duration, c *connection) {
+	c.waiting, c.heard, c.overdue, c.asked = true, false, false, now
+	c.calls++
+	call := w.Call(w.session.Whole())
+	c.limit = w.deadlines.Set(now+call.Limit, func(now time.Duration) { w.late(now, c) })
+	w.observer.Called(CallStart{Connection: c.number, Address: w.address, Since: w.session.revision, Wait: call.Wait, Limit: call.Limit})
+	w.transport.Send(c.number, c.exchange.Call(w.session, call.Wait))
+}
+
+// late takes that a call has no answer within its limit: it stays open, and another one follows.
+func (w *Watcher) late(now time.Duration, c *connection) {
+	w.setOverdue(now, c)
+	w.follow(now, c, errNoAnswer, Silent)
+}
+
+// setOverdue leaves a call to itself: its answer is taken if it comes.
+func (w *Watcher) setOverdue(now time.Duration, c *connection) {
+	c.overdue, c.exchange.superseded = true, true
+	w.deadlines.Stop(c.limit)
+	c.limit = w.deadlines.Set(now+overdueLife, func(time.Duration) { w.drop(c) })
+}
+
+// drop leaves a connection.
+func (w *Watcher) drop(c *connection) {
+	w.forget(c)
+	w.transport.Drop(c.number)
+}
+
+// forget takes a connection out of those in use.
+func (w *Watcher) forget(c *connection) {
+	w.deadlines.Stop(c.limit)
+	w.connections = slices.DeleteFunc(w.connections, func(o *connection) bool { return o == c })
+}
+
+func (w *Watcher) dropAll() {
+	w.deadlines.Stop(w.retry)
+	for len(w.connections) > 0 {
+		w.drop(w.connections[0])
+	}
+}
+
+// failed takes that a call, or its connection, has come to nothing. One that was overdue has been followed by another.
+func (w *Watcher) failed(now time.Duration, c *connection, err error, how Failure) {
+	w.drop(c)
+	if !c.overdue {
+		w.follow(now, c, err, how)
 	}
-	w.deadlines.Stop(w.link.limit)
-	w.link.state = unconnected
-	w.transport.Drop()
 }
 
-// failed has the call made again where the clock says so; else the observer hears, once, that the watch has broken.
-func (w *Watcher) failed(now time.Duration, err error, how Failure) {
-	began := w.link.dialled
-	if w.link.waiting {
-		began = w.link.asked
+// follow has a call made again where the clock says so; else the observer hears, once, that the watch has broken.
+func (w *Watcher) follow(now time.Duration, c *connection, err error, how Failure) {
+	began := c.dialled
+	if c.waiting {
+		began = c.asked
 	}
-	w.drop()
 	again, after := w.Clock.Failed(how)
-	w.observer.Failed(now, CallFailure{Connection: w.link.number, Address: w.address, Err: err, Took: now - began, InRow: w.fails,
+	w.observer.Failed(now, CallFailure{Connection: c.number, Address: w.address, Err: err, Took: now - began, InRow: w.fails,
 		Again: again, After: after, Notable: w.First() || !again}) // danger: an agent that is silent through an outage would fill the log
 	if !again {
 		w.on = false
 		w.observer.Broken(now)
 		return
 	}
-	w.deadlines.Set(now+after, func(now time.Duration) {
-		if w.on && w.link.state == unconnected {
+	w.deadlines.Stop(w.retry)
+	w.retry = w.deadlines.Set(now+after, func(now time.Duration) {
+		if w.on && w.current() == nil {
 			w.dial(now)
 		}
 	})
 }
 
-// Connected takes that the connection is up.
-func (w *Watcher) Connected(now time.Duration) {
-	w.link.state = connected
-	w.ask(now)
+// Connected takes that a connection is up.
+func (w *Watcher) Connected(now time.Duration, number int) {
+	c := w.find(number)
+	switch {
+	case c == nil:
+	case c.overdue: // another call was answered before this one was made
+		w.drop(c)
+	default:
+		w.ask(now, c)
+	}
 }
 
 // Received takes bytes of an answer.
-func (w *Watcher) Received(now time.Duration, data []byte) {
-	w.link.heard = true
-	w.take(now, data, false)
+func (w *Watcher) Received(now time.Duration, number int, data []byte) {
+	if c := w.find(number); c != nil {
+		c.heard = true
+		w.take(now, c, data, false)
+	}
 }
 
-// Closed takes that the connection has ended, or never came up.
-func (w *Watcher) Closed(now time.Duration) {
-	link := &w.link
+// Closed takes that a connection has ended, or never came up.
+func (w *Watcher) Closed(now time.Duration, number int) {
+	c := w.find(number)
+	if c == nil {
+		return
+	}
 	// The end of a kept connection so soon after a call means that the two crossed: discovery was done with the
 	// connection, and the call was not seen. A pushed list's clock asks anew anyway.
-	crossed := link.waiting && link.calls > 1 && !link.heard && now-link.asked < crossingWindow && !w.Pushed
+	crossed := c.waiting && c.calls > 1 && !c.heard && now-c.asked < crossingWindow && !w.Pushed
 	switch {
 	case crossed:
 		w.Crossed()
 		w.observer.Crossed()
-		w.drop()
+		w.drop(c)
 		w.dial(now)
-	case link.waiting:
-		w.take(now, nil, true)
+	case c.waiting:
+		w.take(now, c, nil, true)
 	default:
 		how := Refused
-		if now-link.dialled >= link.dialLimit {
+		if now-c.dialled >= c.dialLimit {
 			how = Silent
 		}
-		w.failed(now, errOutOfReach, how)
+		w.failed(now, c, errOutOfReach, how)
 	}
 }
 
-// take takes a part of an answer, or the end of the connection.
-func (w *Watcher) take(now time.Duration, data []byte, ended bool) {
-	list, keep, err := w.client.Feed(data, ended)
+// take takes a part of an answer, or the end of its connection.
+func (w *Watcher) take(now time.Duration, c *connection, data []byte, ended bool) {
+	list, keep, err := c.exchange.Feed(w.session, data, ended)
 	if err == nil && list == nil && ended {
 		err = errBrokeOff
 	}
 	if err != nil {
-		w.older(now, err)
+		if !c.overdue {
+			w.older(now, err)
+		}
 		how := Refused
 		if errors.Is(err, ErrUnreadable) {
 			how = Unreadable
 		}
-		w.failed(now, err, how)
+		w.failed(now, c, err, how)
 		return
 	}
-	if list == nil {
-		return
+	if list != nil {
+		w.answered(now, c, list, keep)
 	}
-	list.Told = w.toldSince(now)
+}
+
+// answered takes a list. The watch goes on where the answer came, also of an overdue call: a call that is under way beside
+// it stays open, as its answer may be newer.
+func (w *Watcher) answered(now time.Duration, c *connection, list *List, keep bool) {
+	list.Told = w.toldSince(now, c)
 	w.heardAt, w.olderAt = now, 0
-	w.deadlines.Stop(w.link.limit)
-	w.link.waiting = false
+	w.deadlines.Stop(c.limit)
+	w.deadlines.Stop(w.retry)
+	c.waiting = false
 	w.Answered()
-	if keep {
-		w.ask(now)
-	} else {
-		w.drop()
-		w.dial(now)
+	w.on = true
+	other := w.current()
+	switch {
+	case keep && other != nil && other != c:
+		w.setOverdue(now, other)
+		w.ask(now, c)
+	case keep:
+		w.ask(now, c)
+	default:
+		w.drop(c)
+		if w.current() == nil {
+			w.dial(now)
+		}
 	}
 	w.observer.Listed(now, list)
 }
--- a/internal/lab/drainaudit/process.go
+++ b/internal/lab/drainaudit/process.go
@@ -24,7 +24,8 @@
 	wait         time.Duration // that it let discovery hold its answer back
 	silent       time.Duration // since when nothing more can come on it; never, if it is sound
 	result       result
-	afterFailure bool // the call before it failed
+	afterFailure bool          // the call before it had no answer by then
+	followed     time.Duration // when the next call began, which may be while this one is open; never before
 }
 
 type result int
@@ -52,11 +53,11 @@
 // Called takes a call, which may wait so long for news.
 func (a *Audit) Called(number int, at, wait time.Duration) *Call {
 	p := a.processes[number]
-	c := &Call{began: at, ended: never, silent: never, wait: wait}
+	c := &Call{began: at, ended: never, silent: never, followed: never, wait: wait}
 	if n := len(p.calls); n > 0 {
 		before := p.calls[n-1]
 		c.afterFailure = before.result != answered
-		before.ended = min(before.ended, at)
+		before.followed = at
 	}
 	p.calls = append(p.calls, c)
 	return c
@@ -83,9 +84,12 @@
 func (c *Call) Silent(at time.Duration) { c.silent = min(c.silent, at) }
 
 // lastsAt tells whether a call, silent or not, is open at a moment.
-func (c *Call) lastsAt(at time.Duration) bool { return c.began <= at && at < c.ended }
+func (c *Call) lastsAt(at time.Duration) bool { return c.began <= at && at < c.over() }
+
+// over is when a call has ended, or the next one has begun.
+func (c *Call) over() time.Duration { return min(c.ended, c.followed) }
 
 // endedJustBefore tells whether a call ended so shortly before a moment that the next one follows closely.
 func (c *Call) endedJustBefore(at time.Duration) bool {
-	return c.ended <= at && at-c.ended <= silentGap
+	return c.over() <= at && at-c.over() <= silentGap
 }
--- a/internal/lab/drainaudit/told.go
+++ b/internal/lab/drainaudit/told.go
@@ -61,7 +61,7 @@
 	}
 	for i, c := range p.calls {
 		first := i == 0 && at <= c.began && c.began-p.started <= promptCall
-		follows := i > 0 && p.calls[i-1].endedJustBefore(at) && at < c.began && c.began-p.calls[i-1].ended <= silentGap
+		follows := i > 0 && p.calls[i-1].endedJustBefore(at) && at < c.began && c.began-p.calls[i-1].over() <= silentGap
 		switch {
 		case (first || follows || c.lastsAt(at) || c.endedJustBefore(at)) && c.silent <= max(at, c.began):
 			at, by = a.reachable(max(at, c.silent+toldAnyway)), "6 s after the watch fell silent"
@@ -93,7 +93,7 @@
 		began, silent := c.began, c.silent
 		if i == 0 && began-p.started <= promptCall {
 			began = p.started
-			if silent <= c.ended && c.result != answered {
+			if silent <= c.over() && c.result != answered {
 				silent = min(silent, at)
 				reached = max(reached, c.silent)
 			}
@@ -111,10 +111,10 @@
 			return never, "the first call is under way"
 		case i == 0 && c.result == failed && c.silent == never:
 			at, by = max(at, p.started+toldAnyway), "6 s after the start, as the first call failed"
-		case silent < at && c.ended > reached && longPoll:
+		case silent < at && c.over() > reached && longPoll:
 			reached = max(reached, c.silent)
 			at, by = max(at, c.silent+toldAnyway, c.began+c.wait+afterLongPoll), "2 s after the wait of a silent long poll"
-		case silent <= at && c.ended > reached:
+		case silent <= at && c.over() > reached:
 			reached = max(reached, c.silent)
 			at, by = max(at, reached+toldAnyway), "6 s after a call fell silent"
 		}
@@ -125,19 +125,20 @@
 // noWatch is the clock of a balancer that has no watch: held to its list for the time to ask within, from its last call
 // on, four times as long if that call failed and counted anew when discovery is back; each change counts so long after.
 func (a *Audit) noWatch(p *process, made time.Duration) time.Duration {
-	for i, c := range p.calls {
-		next := never
-		if i+1 < len(p.calls) {
-			next = p.calls[i+1].began
+	ended, failed := time.Duration(0), false // of the calls so far, the last end, and how that call ended
+	for _, c := range p.calls {
+		if c.ended >= ended {
+			ended, failed = c.ended, c.result != answered
 		}
-		if next <= made || c.ended == never || next-c.ended <= watchGap {
+		next := c.followed
+		if next <= made || ended == never || next-ended <= watchGap {
 			continue
 		}
 		within := a.rules.AskWithin
-		if c.result != answered {
+		if failed {
 			within *= failedFactor
 		}
-		if at := max(made, a.reachable(c.ended)) + within; at < next {
+		if at := max(made, a.reachable(ended)) + within; at < next {
 			return at
 		}
 	}
--- a/internal/lab/drainsearch/balancer.go
+++ b/internal/lab/drainsearch/balancer.go
@@ -24,7 +24,7 @@
 	deadlines deadline.Queue
 	watcher   *discovery.Watcher
 	table     *request.Table
-	link      *link
+	links     map[int]*link // to discovery, in use
 	listed    map[string]bool // hosts whose address is known
 	clients   map[slot.ID]*client
 	owners    slot.ID
@@ -43,7 +43,7 @@
 	w.audit.Started(b.number, w.now, revision)
 	w.explain("balancer %d starts with revision %d", b.number, revision)
 	b.process++
-	b.running, b.heard, b.told, b.link = false, false, 0, nil
+	b.running, b.heard, b.told, b.links = false, false, 0, map[int]*link{}
 	known, err := discovery.Parse([]byte(w.service.history.Whole(revision)))
 	if err != nil {
 		panic(err)
@@ -92,9 +92,11 @@
 // kill ends the process without a word.
 func (b *balancer) kill() {
 	b.world.explain("balancer %d is killed", b.number)
-	delete(b.world.service.calls, b.link)
+	for _, l := range b.links {
+		delete(b.world.service.calls, l)
+	}
 	b.process++
-	b.running, b.link = false, nil
+	b.running, b.links = false, map[int]*link{}
 }
 
 // do runs an event and what has fallen due. A held process reads its clock, and acts later.
@@ -137,7 +139,7 @@
 		return
 	}
 	b.later(b.world.now+after, func(now time.Duration) {
-		if b.link == l {
+		if b.uses(l) {
 			event(b, now)
 		}
 	})
--- a/internal/lab/drainsearch/calls.go
+++ b/internal/lab/drainsearch/calls.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -14,6 +16,7 @@
 type link struct {
 	balancer *balancer
 	process  int // of the balancer, in order
+	number   int
 	up       bool
 	closed   bool
 }
@@ -51,26 +54,28 @@
 func (s *service) strikes(f Fault) {
 	s.world.explain("trouble of kind %d for balancer %d until %.3f, delay %v", f.Kind, f.Balancer, f.To.Seconds(), f.Delay)
 	for _, b := range s.world.balancers {
-		l := b.link
-		c := s.calls[l]
-		if f.Balancer >= 0 && f.Balancer != b.number || l == nil || !l.up || l.closed {
+		if f.Balancer >= 0 && f.Balancer != b.number {
 			continue
 		}
-		switch f.Kind {
-		case Silent, Hung:
-			s.silence(c)
-		case Reset:
-			s.end(l, c)
-		case Outage:
-			if s.world.script.Pushed {
-				s.silence(c)
-			} else {
-				s.end(l, c)
+		for _, number := range slices.Sorted(maps.Keys(b.links)) {
+			if l := b.links[number]; l.up && !l.closed {
+				s.strike(f, l)
 			}
 		}
 	}
 }
 
+// strike is the first moment of trouble for one connection.
+func (s *service) strike(f Fault, l *link) {
+	c := s.calls[l]
+	switch {
+	case f.Kind == Silent, f.Kind == Hung, f.Kind == Outage && s.world.script.Pushed:
+		s.silence(c)
+	case f.Kind == Reset, f.Kind == Outage:
+		s.end(l, c)
+	}
+}
+
 // silence leaves a call without a word from now on.
 func (s *service) silence(c *call) {
 	if c != nil && !c.silent {
@@ -90,7 +95,7 @@
 
 func (s *service) close(l *link, after time.Duration) {
 	l.closed = true
-	l.balancer.hear(l, after, func(b *balancer, now time.Duration) { b.watcher.Closed(now) })
+	l.balancer.hear(l, after, func(b *balancer, now time.Duration) { b.watcher.Closed(now, l.number) })
 }
 
 // connect takes a connection of a balancer; it tells what comes of it.
@@ -103,7 +108,7 @@
 		silent.Silent(s.world.now)
 		l.balancer.hear(l, limit, func(b *balancer, now time.Duration) {
 			silent.Failed(now)
-			b.watcher.Closed(now)
+			b.watcher.Closed(now, l.number)
 		})
 	case down && !s.world.script.Pushed:
 		refused := s.world.audit.Called(b.number, s.world.now, 0)
@@ -116,7 +121,7 @@
 		}
 		l.balancer.hear(l, took, func(b *balancer, now time.Duration) {
 			l.up = true
-			b.watcher.Connected(now)
+			b.watcher.Connected(now, l.number)
 		})
 	}
 }
@@ -221,5 +226,5 @@
 }
 
 func (s *service) write(l *link, text string) {
-	l.balancer.hear(l, s.world.script.Latency, func(b *balancer, now time.Duration) { b.watcher.Received(now, []byte(text)) })
+	l.balancer.hear(l, s.world.script.Latency, func(b *balancer, now time.Duration) { b.watcher.Received(now, l.number, []byte(text)) })
 }
--- a/internal/lab/drainsearch/draw.go
+++ b/internal/lab/drainsearch/draw.go
@@ -119,15 +119,15 @@
 		f.Balancer = d.IntN(s.Balancers)
 	}
 	longest := 3 * time.Second
-	if f.Kind == Outage || f.Kind == Hung {
+	if f.Kind == Outage || f.Kind == Hung || f.Kind == Slow {
 		longest = 12 * time.Second
 	}
 	f.To = f.From + d.between(10*ms, longest)
 	switch f.Kind {
 	case Refusing:
-		f.Delay = d.between(0, 3*time.Second)
+		f.Delay = d.between(0, longestWait)
 	case Slow:
-		f.Delay = d.between(0, 1500*ms)
+		f.Delay = d.between(0, longestWait)
 	}
 	return f
 }
@@ -140,6 +140,9 @@
 	return r
 }
 
+// longestWait is how long a call may wait at a busy discovery, which then refuses it.
+const longestWait = 3 * time.Second
+
 // requests draws clients; some of them come just as a drain, or the end of its grace, is due.
 func (d dice) requests(s *Script) {
 	for range 20 + d.IntN(120) {
--- a/internal/lab/drainsearch/service.go
+++ b/internal/lab/drainsearch/service.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"time"
 
@@ -49,8 +50,11 @@
 	}
 	s.change(c)
 	for _, b := range s.world.balancers {
-		if c := s.calls[b.link]; c != nil && c.answerAt == 0 {
-			s.answer(b.link, c)
+		for _, number := range slices.Sorted(maps.Keys(b.links)) {
+			l := b.links[number]
+			if c := s.calls[l]; c != nil && c.answerAt == 0 {
+				s.answer(l, c)
+			}
 		}
 	}
 }
--- a/internal/lab/drainsearch/watch.go
+++ b/internal/lab/drainsearch/watch.go
@@ -8,21 +8,21 @@
 )
 
 // Dial makes a connection to discovery.
-func (b *balancer) Dial(_ time.Duration, _ string, limit time.Duration) {
-	l := &link{balancer: b, process: b.process}
-	b.link = l
+func (b *balancer) Dial(_ time.Duration, connection int, _ string, limit time.Duration) {
+	l := &link{balancer: b, process: b.process, number: connection}
+	b.links[connection] = l
 	b.afterEffect(0, func() {
-		if b.link == l {
+		if b.uses(l) {
 			b.world.service.connect(l, limit)
 		}
 	})
 }
 
 // Send writes a call.
-func (b *balancer) Send(request []byte) {
-	l, text := b.link, string(request)
+func (b *balancer) Send(connection int, request []byte) {
+	l, text := b.links[connection], string(request)
 	b.afterEffect(b.world.options.LateCalls+b.world.script.Latency, func() {
-		if b.link == l && !l.closed {
+		if b.uses(l) && !l.closed {
 			b.world.service.receive(l, text)
 		}
 	})
@@ -38,15 +38,19 @@
 	})
 }
 
-// Drop leaves the connection in use.
-func (b *balancer) Drop() {
-	if c := b.world.service.calls[b.link]; c != nil {
+// Drop leaves a connection.
+func (b *balancer) Drop(connection int) {
+	l := b.links[connection]
+	if c := b.world.service.calls[l]; c != nil {
 		c.seen.Failed(b.world.now)
 	}
-	delete(b.world.service.calls, b.link)
-	b.link = nil
+	delete(b.world.service.calls, l)
+	delete(b.links, connection)
 }
 
+// uses tells whether a connection is one of those in use.
+func (b *balancer) uses(l *link) bool { return b.links[l.number] == l }
+
 // observer hears of the calls of a balancer.
 type observer struct{ *balancer }
 
--- a/internal/net/peer_test.go
+++ b/internal/net/peer_test.go
@@ -43,7 +43,7 @@
 		return err
 	case "accept":
 		from := r.upstreams
-		if who == "pool" {
+		if strings.HasPrefix(who, "pool") {
 			from = r.pools
 		}
 		return r.within(func() error { p.take(<-from); return nil })
--- a/internal/net/scenario_test.go
+++ b/internal/net/scenario_test.go
@@ -23,7 +23,7 @@
 //	                        connect, effect, scope, window (of repeats), deadline, binds, tries, class, cells (the operator's file, ; for new lines) and plan (plan.json), which the next reload brings in
 //	NAME connect            a client connects to the node
 //	NAME call PATH          an operator asks the node's second address; without a path it only connects
-//	NAME accept             takes the next connection that reached a desk host or, for pool, discovery
+//	NAME accept             takes the next connection that reached a desk host or, for names that begin with pool, discovery
 //	NAME send TEXT          sends a line; \r\n in it splits it, ... at its end leaves it open
 //	NAME expect PATTERN     reads a line; * stands for anything
 //	NAME wait text|none T   waits until the other side has ended, having sent this text, or anything but
--- a/internal/net/watch.go
+++ b/internal/net/watch.go
@@ -15,7 +15,7 @@
 type watch struct {
 	node    *Node
 	watcher *discovery.Watcher
-	link    *discoveryLink // the connection in use; one that was dropped is left to itself
+	links   map[int]*discoveryLink // the connections in use, by number; one that was dropped is left to itself
 	status  listStatus
 }
 
@@ -26,7 +26,7 @@
 
 // newWatch makes the watch of a node; it is off.
 func newWatch(n *Node, address string) *watch {
-	w := &watch{node: n}
+	w := &watch{node: n, links: map[int]*discoveryLink{}}
 	w.watcher = discovery.NewWatcher(address, w, w, &n.deadlines)
 	return w
 }
@@ -35,19 +35,20 @@
 func (w *watch) configure(set policy.Settings) { w.watcher.Configure(!set.MustAsk, set.DrainGrace) }
 
 // Dial makes a connection to discovery.
-func (w *watch) Dial(_ time.Duration, address string, limit time.Duration) {
+func (w *watch) Dial(_ time.Duration, connection int, address string, limit time.Duration) {
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
-	w.link = &discoveryLink{watch: w, cancel: cancel}
-	w.node.dial(ctx, w.link, address)
+	link := &discoveryLink{watch: w, number: connection, cancel: cancel}
+	w.links[connection] = link
+	w.node.dial(ctx, link, address)
 }
 
 // Send writes a call.
-func (w *watch) Send(request []byte) { w.node.write(w.link.conn, request) }
+func (w *watch) Send(connection int, request []byte) { w.node.write(w.links[connection].conn, request) }
 
-// Drop leaves the connection in use.
-func (w *watch) Drop() {
-	link := w.link
-	w.link = nil
+// Drop leaves a connection.
+func (w *watch) Drop(connection int) {
+	link := w.links[connection]
+	delete(w.links, connection)
 	link.cancel()
 	w.node.end(link.conn, false)
 }
@@ -73,11 +74,12 @@
 // discoveryLink is the socket of one connection to discovery.
 type discoveryLink struct {
 	watch  *watch
+	number int
 	conn   gnet.Conn
 	cancel context.CancelFunc
 }
 
-func (l *discoveryLink) inUse() bool { return l.watch.link == l }
+func (l *discoveryLink) inUse() bool { return l.watch.links[l.number] == l }
 
 func (l *discoveryLink) opened(now time.Duration, conn gnet.Conn) gnet.Action {
 	l.cancel()
@@ -85,7 +87,7 @@
 	if !l.inUse() {
 		return gnet.Close
 	}
-	l.watch.watcher.Connected(now)
+	l.watch.watcher.Connected(now, l.number)
 	return gnet.None
 }
 
@@ -97,7 +99,7 @@
 	if len(data) == 0 {
 		return
 	}
-	l.watch.watcher.Received(now, data)
+	l.watch.watcher.Received(now, l.number, data)
 	if l.conn != nil {
 		_, _ = l.conn.Discard(-1)
 	}
@@ -108,6 +110,6 @@
 func (l *discoveryLink) closed(now time.Duration, _ bool) {
 	l.cancel()
 	if l.inUse() {
-		l.watch.watcher.Closed(now)
+		l.watch.watcher.Closed(now, l.number)
 	}
 }
