--- a/internal/discovery/hedge_test.go
+++ b/internal/discovery/hedge_test.go
@@ -102,7 +102,7 @@
 func TestAnOverdueCallIsAnswered(t *testing.T) {
 	w, r, q := newWatched()
 	first := w.made
-	runUntil(q, watchStart + wholeLimit)
+	runUntil(q, watchStart+wholeLimit)
 	require.Equal(t, first+1, w.made, "another call follows")
 	second := w.made
 	w.Connected(watchStart+wholeLimit, second)
@@ -121,7 +121,7 @@
 func TestOverdueCallsEnd(t *testing.T) {
 	w, r, q := newWatched()
 	first := w.made
-	runUntil(q, watchStart + wholeLimit)
+	runUntil(q, watchStart+wholeLimit)
 	w.Connected(watchStart+wholeLimit, w.made)
 	w.Received(watchStart+wholeLimit+ms, w.made, whole(42, "in_service"))
 	require.True(t, r.open[first])
@@ -133,11 +133,11 @@
 	w.MoveTo(watchStart+5*time.Second, "new")
 	w.Connected(watchStart+5*time.Second, w.made)
 	overdue := w.made
-	runUntil(q, watchStart + 5*time.Second + movedLimit)
+	runUntil(q, watchStart+5*time.Second+movedLimit)
 	w.Connected(watchStart+5*time.Second+movedLimit, w.made)
 	w.Received(watchStart+7*time.Second, w.made, whole(3, "in_service"))
 	require.True(t, r.open[overdue])
-	runUntil(q, watchStart + 5*time.Second + movedLimit + overdueLife)
+	runUntil(q, watchStart+5*time.Second+movedLimit+overdueLife)
 	assert.False(t, r.open[overdue])
 	assert.Equal(t, policy.LongAgo, r.last().Told)
 }
--- a/internal/lab/drainsearch/balancer.go
+++ b/internal/lab/drainsearch/balancer.go
@@ -24,7 +24,7 @@
 	deadlines deadline.Queue
 	watcher   *discovery.Watcher
 	table     *request.Table
-	links     map[int]*link // to discovery, in use
+	links     map[int]*link   // to discovery, in use
 	listed    map[string]bool // hosts whose address is known
 	clients   map[slot.ID]*client
 	owners    slot.ID
