Drain judge: strict by default, each milder reading of the pages has a name

Each reading of docs/design/drain-search.md that is milder than the pages' words is a named exemption (refused calls, first calls, further silence, first calls to an agent), off unless asked for; a break that one of them would excuse is told under its name. The same judge is used by the soak, bin/lab soak.

--- a/cmd/lab/main.go
+++ b/cmd/lab/main.go
@@ -20,13 +20,14 @@
 )
 
 type commands struct {
-	Run     run     `cmd:"" help:"Play an experiment on loopback sockets against real balancers; JSON goes to --out."`
-	Virtual virtual `cmd:"" help:"Play an experiment in virtual time."`
-	Compare compare `cmd:"" help:"Put two results of run side by side."`
-	Prove   prove   `cmd:"" help:"Run a proof; one JSON line of figures comes last, exit code 1 if a promise is broken."`
-	Count   count   `cmd:"" help:"Count the logs of a whole fleet by second and desk host; they must be written at the debug level."`
-	Site    site    `cmd:"" help:"Write a deployment that nobody has looked at, from a seed, as the operators' bench reads it."`
-	Up      up      `cmd:"" help:"Start a small fleet with light load, and show live figures until Ctrl-C."`
+	Run     run         `cmd:"" help:"Play an experiment on loopback sockets against real balancers; JSON goes to --out."`
+	Virtual virtual     `cmd:"" help:"Play an experiment in virtual time."`
+	Compare compare     `cmd:"" help:"Put two results of run side by side."`
+	Prove   prove       `cmd:"" help:"Run a proof; one JSON line of figures comes last, exit code 1 if a promise is broken."`
+	Soak    soakCommand `cmd:"" help:"Play real processes under faults drawn from a seed, and judge them; exit code 1 if a rule is broken."`
+	Count   count       `cmd:"" help:"Count the logs of a whole fleet by second and desk host; they must be written at the debug level."`
+	Site    site        `cmd:"" help:"Write a deployment that nobody has looked at, from a seed, as the operators' bench reads it."`
+	Up      up          `cmd:"" help:"Start a small fleet with light load, and show live figures until Ctrl-C."`
 }
 
 func main() {
--- /dev/null
+++ b/cmd/lab/soak.go
@@ -0,0 +1,174 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"maps"
+	"os"
+	"path/filepath"
+	"slices"
+	"sync"
+
+	"tealtiller/internal/lab/soak"
+)
+
+// soakCommand plays runs on real processes.
+type soakCommand struct {
+	Seeds  int    `default:"1" help:"So many runs, from the seed on."`
+	At     int    `default:"4" help:"So many runs at a time."`
+	Script string `type:"existingfile" help:"Play this script, as --folder keeps them, in place of drawn ones; --seeds says how often."`
+	Folder string `type:"path" help:"Keep the script, the logs and the record of each run that broke a rule here."`
+	Plant  string `enum:",longer_grace,late_calls,more_attempts,longer_window,early_kill,safe_classes" default:"" help:"Plant a fault, which the judge has to find: one of ${enum}."`
+	binary
+}
+
+// soakFigures are the JSON line that comes last.
+type soakFigures struct {
+	Runs     int            `json:"runs"`
+	Broken   int            `json:"broken"`
+	Failed   int            `json:"failed"`
+	Requests int            `json:"requests"`
+	Attempts int            `json:"attempts"`
+	Lines    int            `json:"lines"`
+	Answers  map[string]int `json:"answers"`
+	Rules    map[string]int `json:"rules"`
+	LateMS   int64          `json:"late_ms"` // the longest hold-up of a run's own clock
+}
+
+// Run plays the runs and exits with 1 if a rule was broken.
+func (c soakCommand) Run(out io.Writer) error {
+	plant, err := c.plant()
+	if err != nil {
+		return err
+	}
+	folder, err := os.MkdirTemp("", "soak")
+	if err != nil {
+		return err
+	}
+	defer os.RemoveAll(folder)
+	figures := soakFigures{Answers: map[string]int{}, Rules: map[string]int{}}
+	var mu sync.Mutex
+	var group sync.WaitGroup
+	slots := make(chan bool, max(c.At, 1))
+	for i := range c.Seeds {
+		slots <- true
+		group.Go(func() {
+			defer func() { <-slots }()
+			seed := c.Seed + uint64(i)
+			script, err := c.script(seed)
+			if err != nil {
+				fmt.Fprintln(out, err)
+				return
+			}
+			run := filepath.Join(folder, fmt.Sprint(i))
+			result, err := soak.Play(script, soak.Options{Binary: c.Binary, Folder: run, Plant: plant})
+			mu.Lock()
+			defer mu.Unlock()
+			figures.add(out, seed, result, err)
+			if err == nil && len(result.Breaks) > 0 && c.Folder != "" {
+				if err := keep(filepath.Join(c.Folder, fmt.Sprint(seed)), run, script, result); err != nil {
+					fmt.Fprintln(out, err)
+				}
+			}
+			_ = os.RemoveAll(run)
+		})
+	}
+	group.Wait()
+	if err := json.NewEncoder(out).Encode(figures); err != nil {
+		return err
+	}
+	if figures.Broken > 0 || figures.Failed > 0 {
+		os.Exit(1)
+	}
+	return nil
+}
+
+func (c soakCommand) plant() (soak.Plant, error) {
+	if c.Plant == "" {
+		return soak.Nothing, nil
+	}
+	for _, p := range soak.Plants() {
+		if p.String() == c.Plant {
+			return p, nil
+		}
+	}
+	return soak.Nothing, fmt.Errorf("no planted fault %q", c.Plant)
+}
+
+// script is the one that the file has, or the one of a seed.
+func (c soakCommand) script(seed uint64) (*soak.Script, error) {
+	if c.Script == "" {
+		return soak.Draw(seed), nil
+	}
+	text, err := os.ReadFile(c.Script)
+	if err != nil {
+		return nil, err
+	}
+	return soak.Parse(text)
+}
+
+// add tells what a run has shown, and counts it.
+func (f *soakFigures) add(out io.Writer, seed uint64, result *soak.Result, err error) {
+	f.Runs++
+	if err != nil {
+		f.Failed++
+		fmt.Fprintf(out, "seed %d: not played: %v\n", seed, err)
+		return
+	}
+	f.Requests += result.Requests
+	f.Attempts += result.Attempts
+	f.Lines += result.Lines
+	f.LateMS = max(f.LateMS, result.Late.Milliseconds())
+	for _, word := range slices.Sorted(maps.Keys(result.Answers)) {
+		f.Answers[word] += result.Answers[word]
+	}
+	verdict := "no rule broken"
+	if len(result.Breaks) > 0 {
+		f.Broken++
+		verdict = fmt.Sprintf("%d BROKEN", len(result.Breaks))
+	}
+	fmt.Fprintf(out, "seed %d: %s; %d requests, %d attempts, %d lines, clock late by %v at the most\n",
+		seed, verdict, result.Requests, result.Attempts, result.Lines, result.Late)
+	for _, b := range result.Breaks {
+		f.Rules[b.Rule]++
+		fmt.Fprintf(out, "  %s\n", b)
+	}
+}
+
+// keep keeps the script, the record and the logs of a run.
+func keep(folder, run string, script *soak.Script, result *soak.Result) error {
+	if err := os.MkdirAll(folder, 0o755); err != nil {
+		return err
+	}
+	text, err := json.MarshalIndent(script, "", " ")
+	if err != nil {
+		return err
+	}
+	if err := os.WriteFile(filepath.Join(folder, "script.json"), text, 0o644); err != nil {
+		return err
+	}
+	record, err := os.Create(filepath.Join(folder, "record.txt"))
+	if err != nil {
+		return err
+	}
+	defer record.Close()
+	for _, e := range result.Events {
+		fmt.Fprintln(record, e)
+	}
+	logs, err := filepath.Glob(filepath.Join(run, "*", "log"))
+	if err != nil {
+		return err
+	}
+	for _, log := range logs {
+		text, err := os.ReadFile(log)
+		if err != nil {
+			return err
+		}
+		name := filepath.Base(filepath.Dir(log)) + ".log"
+		if err := os.WriteFile(filepath.Join(folder, name), text, 0o644); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/internal/lab/drainaudit/audit.go
+++ b/internal/lab/drainaudit/audit.go
@@ -23,6 +23,7 @@
 	Pushed    bool          // lists are pushed to an agent on the balancer's machine; else balancers ask discovery
 	Grace     time.Duration // drain_grace_ms
 	AskWithin time.Duration // how long a balancer without a watch may go without asking
+	Exempt    Exemptions    // readings of the pages that are milder than their words; none for a strict judge
 }
 
 // The clocks of the pages.
@@ -78,6 +79,16 @@
 	ToldBy    string        // the clock that told first
 	Happened  time.Duration // when discovery had the change
 	Restarted time.Duration // when this process started
+	Excuses   Exemptions    // each of which alone would excuse it
+	Together  bool          // only several readings together would
+}
+
+// Excused names the milder reading of the pages that would excuse a break; empty if none does.
+func (b *Break) Excused() string {
+	if b.Together {
+		return "several readings together"
+	}
+	return b.Excuses.String()
 }
 
 // Since has all times count from a moment.
@@ -88,12 +99,34 @@
 }
 
 func (b *Break) Error() string {
-	return fmt.Sprintf("process %d (started %v) sent to %s at %v, %v too late: discovery had the drain at %v, told at %v (%s)",
+	text := fmt.Sprintf("process %d (started %v) sent to %s at %v, %v too late: discovery had the drain at %v, told at %v (%s)",
 		b.Process, b.Restarted, b.Host, b.Sent, b.Late, b.Happened, b.Told, b.ToldBy)
+	if mild := b.Excused(); mild != "" {
+		text += "; only a mild reading excuses it: " + mild
+	}
+	return text
 }
 
 // Sent judges the first byte of a new request to a host; nil where the rule holds.
 func (a *Audit) Sent(number int, host string, at time.Duration) *Break {
+	worst := a.judge(number, host, at)
+	if worst == nil {
+		return nil
+	}
+	strict := a.rules.Exempt
+	for _, e := range Mild.Each() {
+		a.rules.Exempt = strict | e
+		if a.judge(number, host, at) == nil {
+			worst.Excuses |= e
+		}
+	}
+	a.rules.Exempt = Mild
+	worst.Together = worst.Excuses == 0 && a.judge(number, host, at) == nil
+	a.rules.Exempt = strict
+	return worst
+}
+
+func (a *Audit) judge(number int, host string, at time.Duration) *Break {
 	p := a.processes[number]
 	allowed := at - a.rules.Grace - slack
 	var worst *Break
--- a/internal/lab/drainaudit/audit_test.go
+++ b/internal/lab/drainaudit/audit_test.go
@@ -37,49 +37,60 @@
 	for name, c := range map[string]struct {
 		play func(a *Audit, watch *Call)
 		told time.Duration
+		mild time.Duration // as all mild readings have it; 0 where they change nothing
 	}{
 		"written on a watch": {func(a *Audit, watch *Call) {
 			a.Changed(2*s, "h", Terminating)
 			a.Answered(0, watch, 2100*ms, 1)
-		}, 2100 * ms},
+		}, 2100 * ms, 0},
 		"a silent long poll: 2 s after its wait": {func(a *Audit, watch *Call) {
 			watch.Silent(s)
 			a.Changed(2*s, "h", Terminated)
-		}, 10010 * ms},
+		}, 10010 * ms, 0},
 		"a silent long poll that falls silent late: 6 s": {func(a *Audit, watch *Call) {
 			watch.Silent(7 * s)
 			a.Changed(7500*ms, "h", Terminated)
-		}, 13500 * ms},
-		"refused: 6 s after that, as it could not be reached before": {func(a *Audit, watch *Call) {
+		}, 13500 * ms, 0},
+		"refused, perhaps for being crowded: that adds nothing": {func(a *Audit, watch *Call) {
 			watch.Refused(s)
 			a.Changed(2*s, "h", Terminating)
 			a.Called(0, 3*s, 0).Refused(3500 * ms)
-		}, 9500 * ms},
+		}, 8 * s, 9500 * ms},
+		"a second call in a row that falls silent adds nothing": {func(a *Audit, watch *Call) {
+			watch.Failed(s)
+			a.Changed(2*s, "h", Terminating)
+			first := a.Called(0, 3*s, 2*s)
+			first.Silent(3 * s)
+			first.Failed(6300 * ms)
+			a.Called(0, 6300*ms, 2*s).Silent(6300 * ms)
+		}, 9 * s, 12300 * ms},
 		"an outage: 6 s after its end": {func(a *Audit, watch *Call) {
 			watch.Refused(s)
 			a.Outage(s, 9*s)
 			a.Changed(2*s, "h", Terminating)
-		}, 15 * s},
+		}, 15 * s, 0},
 		"a call that failed in any other way adds nothing": {func(a *Audit, watch *Call) {
 			a.Changed(2*s, "h", Terminating)
 			watch.Failed(2 * s)
 			a.Called(0, 4*s, 0).Failed(5 * s)
-		}, 8 * s},
+		}, 8 * s, 0},
 		"a long poll after a failure adds nothing, but for its silence": {func(a *Audit, watch *Call) {
 			watch.Failed(s)
 			a.Changed(2*s, "h", Terminating)
 			a.Called(0, 3*s, 8*s).Silent(3 * s)
-		}, 9 * s},
+		}, 9 * s, 0},
 		"SIGHUP: 4 s": {func(a *Audit, watch *Call) {
 			a.Changed(2*s, "h", Terminating)
 			watch.Failed(3 * s)
 			a.Reloaded(0, 3*s)
-		}, 7 * s},
+		}, 7 * s, 0},
 	} {
 		t.Run(name, func(t *testing.T) {
 			a, watch := askedAudit(8 * s)
 			c.play(a, watch)
 			assert.Equal(t, c.told+grace+slack, latest(a, 2*s, 20*s))
+			a.rules.Exempt = Mild
+			assert.Equal(t, max(c.told, c.mild)+grace+slack, latest(a, 2*s, 20*s), "by all mild readings")
 		})
 	}
 }
@@ -116,13 +127,18 @@
 	assert.Equal(t, 5*s+grace+slack, latest(a, 3*s, 20*s))
 }
 
-// A process that starts long after a change is told at once, but for the time that its first call takes.
+// A process that starts long after a change is told at once; a mild reading leaves it the time that its first call takes.
 func TestToldLongBeforeTheStart(t *testing.T) {
 	a := New(Rules{Grace: grace, AskWithin: 10 * s})
 	a.Changed(s, "h", Terminating)
 	a.Started(0, 20*s, 0)
 	first := a.Called(0, 20100*ms, 0)
 	a.Answered(0, first, 20150*ms, 1)
+	assert.Equal(t, 20*s+grace+slack, latest(a, 20*s, 30*s))
+	broken := a.Sent(0, "h", 20*s+grace+slack+ms)
+	assert.Equal(t, FirstCalls, broken.Excuses)
+	assert.Contains(t, broken.Error(), "only a mild reading excuses it: first calls")
+	a.rules.Exempt = FirstCalls
 	assert.Equal(t, 20150*ms+grace+slack, latest(a, 20*s, 30*s))
 }
 
--- a/internal/lab/drainaudit/told.go
+++ b/internal/lab/drainaudit/told.go
@@ -60,7 +60,7 @@
 		}
 	}
 	for i, c := range p.calls {
-		first := i == 0 && at <= c.began && c.began-p.started <= promptCall
+		first := a.exempts(AgentFirstCalls) && i == 0 && at <= c.began && c.began-p.started <= promptCall
 		follows := i > 0 && p.calls[i-1].endedJustBefore(at) && at < c.began && c.began-p.calls[i-1].over() <= silentGap
 		switch {
 		case (first || follows || c.lastsAt(at) || c.endedJustBefore(at)) && c.silent <= max(at, c.began):
@@ -74,54 +74,6 @@
 	return at, by
 }
 
-// sixSeconds is the clock of lists that are asked for: a change counts as told 6 s after discovery had it and could be
-// reached, whatever calls failed; what a sound long poll missed by falling silent 2 s after its wait, if that is later.
-// A process that starts after that is told at once, but for the time that discovery takes to answer its first call.
-func (a *Audit) sixSeconds(p *process, made time.Duration) (at time.Duration, by string) {
-	reached := a.reachable(made)
-	at, by = reached+toldAnyway, "6 s after discovery had it and could be reached"
-	for _, o := range a.outages {
-		if o.from >= reached && o.from < at {
-			reached = o.to
-			at = reached + toldAnyway
-		}
-	}
-	if at < p.started {
-		at, by = p.started, "long before this process started"
-	}
-	for i, c := range p.calls {
-		began, silent := c.began, c.silent
-		if i == 0 && began-p.started <= promptCall {
-			began = p.started
-			if silent <= c.over() && c.result != answered {
-				silent = min(silent, at)
-				reached = max(reached, c.silent)
-			}
-		}
-		if began > at {
-			break
-		}
-		switch longPoll := !c.afterFailure && c.wait > toldAnyway-afterLongPoll; {
-		case c.result == refused && c.ended >= reached:
-			reached = a.reachable(c.ended)
-			at, by = max(at, reached+toldAnyway), "6 s after discovery last refused a call"
-		case i == 0 && c.result == answered && c.ended > at:
-			at, by = c.ended, "the first call was answered"
-		case i == 0 && c.result == open && c.silent == never:
-			return never, "the first call is under way"
-		case i == 0 && c.result == failed && c.silent == never:
-			at, by = max(at, p.started+toldAnyway), "6 s after the start, as the first call failed"
-		case silent < at && c.over() > reached && longPoll:
-			reached = max(reached, c.silent)
-			at, by = max(at, c.silent+toldAnyway, c.began+c.wait+afterLongPoll), "2 s after the wait of a silent long poll"
-		case silent <= at && c.over() > reached:
-			reached = max(reached, c.silent)
-			at, by = max(at, reached+toldAnyway), "6 s after a call fell silent"
-		}
-	}
-	return at, by
-}
-
 // noWatch is the clock of a balancer that has no watch: held to its list for the time to ask within, from its last call
 // on, four times as long if that call failed and counted anew when discovery is back; each change counts so long after.
 func (a *Audit) noWatch(p *process, made time.Duration) time.Duration {
--- a/internal/lab/drainsearch/search.go
+++ b/internal/lab/drainsearch/search.go
@@ -21,9 +21,19 @@
 	Sequences int
 	Sent      int // first bytes judged
 	Found     []Found
+	Excused   map[string]int // sequences with a break that a reading milder than the pages would excuse, by its name
 }
 
-// mostFound is how many scripts that break the rule a search keeps; it ends with the last.
+// Broken is how many sequences broke the rule, by whatever reading.
+func (t *Tally) Broken() (n int) {
+	n = len(t.Found)
+	for _, some := range t.Excused {
+		n += some
+	}
+	return n
+}
+
+// mostFound is how many scripts that break the rule by any reading a search keeps; it ends with the last.
 const mostFound = 20
 
 // Search plays the sequences of so many seeds from a first one on, in so many goroutines, until a moment of real time;
@@ -32,6 +42,7 @@
 	var next, sent, played atomic.Int64
 	var mu sync.Mutex
 	var found []Found
+	excused := map[string]int{}
 	enough := func() bool {
 		mu.Lock()
 		defer mu.Unlock()
@@ -48,11 +59,16 @@
 			broken, judged := Play(script, options)
 			played.Add(1)
 			sent.Add(int64(judged))
-			if broken != nil {
-				mu.Lock()
+			if broken == nil {
+				continue
+			}
+			mu.Lock()
+			if mild := broken.Excused(); mild != "" {
+				excused[mild]++
+			} else {
 				found = append(found, Found{seed, script, broken})
-				mu.Unlock()
 			}
+			mu.Unlock()
 		}
 	}
 	var group sync.WaitGroup
@@ -61,7 +77,7 @@
 	}
 	group.Wait()
 	slices.SortFunc(found, func(a, b Found) int { return int(a.Seed) - int(b.Seed) })
-	return Tally{Sequences: int(played.Load()), Sent: int(sent.Load()), Found: found}
+	return Tally{Sequences: int(played.Load()), Sent: int(sent.Load()), Found: found, Excused: excused}
 }
 
 // Shrink leaves out of a script what the break does not need, one part after the other, as long as it still breaks.
--- a/internal/lab/drainsearch/search_test.go
+++ b/internal/lab/drainsearch/search_test.go
@@ -5,21 +5,33 @@
 	"time"
 
 	"github.com/stretchr/testify/assert"
+
+	"tealtiller/internal/lab/drainaudit"
 )
 
 // shortSearch is how many sequences CI plays; make prove-drain plays many more.
 const shortSearch = 300
 
-// The balancer's own code keeps the rule on the sequences of these seeds; each run plays the same ones.
+// The balancer's own code keeps the rule on the sequences of these seeds; each run plays the same ones. Where the pages leave
+// room the readings of the design page hold; TestNoSequenceBreaksTheRuleReadStrictly has none of them.
 func TestNoSequenceBreaksTheRule(t *testing.T) {
-	tally := Search(1, shortSearch, 2, time.Time{}, Options{})
+	tally := Search(1, shortSearch, 2, time.Time{}, Options{Exempt: drainaudit.Mild})
 	assert.Equal(t, shortSearch, tally.Sequences)
 	assert.Greater(t, tally.Sent, 20*shortSearch, "first bytes judged")
+	assert.Empty(t, tally.Excused)
 	for _, f := range tally.Found {
 		t.Errorf("seed %d: %v", f.Seed, f.Break)
 	}
 }
 
+// Read to the letter, the pages have more count as told than the balancer can have heard: to a process that has just started,
+// while discovery refuses calls for being crowded, and while one call after the other falls silent.
+func TestNoSequenceBreaksTheRuleReadStrictly(t *testing.T) {
+	tally := Search(1, shortSearch, 2, time.Time{}, Options{})
+	assert.Empty(t, tally.Found, "by any reading")
+	assert.Empty(t, tally.Excused, "by a strict reading")
+}
+
 // The search finds a fault that is planted in the code round the balancer's. Each is seen within the sequences of CI.
 func TestPlantedFaultsAreFound(t *testing.T) {
 	for name, planted := range map[string]Options{
--- a/internal/lab/drainsearch/world.go
+++ b/internal/lab/drainsearch/world.go
@@ -11,9 +11,10 @@
 
 // Options plant a fault in the harness round the balancer, to see that the search finds it.
 type Options struct {
-	NoGate       bool          // the first byte is written without asking the gate
-	IgnoresGrace bool          // the balancer takes the grace as a second longer than it is
-	LateCalls    time.Duration // each call to discovery is written so much late
+	NoGate       bool                  // the first byte is written without asking the gate
+	IgnoresGrace bool                  // the balancer takes the grace as a second longer than it is
+	Exempt       drainaudit.Exemptions // of the judge; none for a strict one
+	LateCalls    time.Duration         // each call to discovery is written so much late
 	Explain      func(format string, args ...any)
 }
 
@@ -31,7 +32,7 @@
 // Play plays a script and tells the first break of the rule; nil if it was kept. Sent is how many first bytes were judged.
 func Play(s *Script, options Options) (broken *drainaudit.Break, sent int) {
 	w := &world{script: s, options: options, audit: drainaudit.New(drainaudit.Rules{
-		Pushed: s.Pushed, Grace: s.Grace, AskWithin: s.AskWithin,
+		Pushed: s.Pushed, Grace: s.Grace, AskWithin: s.AskWithin, Exempt: options.Exempt,
 	})}
 	w.now = start
 	w.service = newService(w)
--- a/internal/lab/prove_drain.go
+++ b/internal/lab/prove_drain.go
@@ -24,6 +24,9 @@
 	for _, f := range tally.Found {
 		v.must(false, "seed %d: %v", f.Seed, f.Break)
 	}
+	for mild, n := range tally.Excused {
+		v.must(false, "%d sequences that only a mild reading excuses: %s", n, mild)
+	}
 	v.must(tally.Sent > 0, "no request was sent")
 	for name, planted := range map[string]drainsearch.Options{
 		"no_gate": {NoGate: true}, "grace_ignored": {IgnoresGrace: true}, "calls_late": {LateCalls: time.Second},
@@ -32,6 +35,7 @@
 		v.must(len(found) > 0, "planted %s: not found among %d sequences", name, plantedAmong)
 		v.Figures["planted_"+name] = len(found)
 	}
+	v.Figures["breaks"], v.Figures["breaks_excused_by_a_mild_reading"] = len(tally.Found), tally.Excused
 	v.Figures["sequences"], v.Figures["first_bytes_judged"] = tally.Sequences, tally.Sent
 	v.Figures["seconds"] = round(time.Since(began))
 	return v
--- a/internal/lab/soak/host.go
+++ b/internal/lab/soak/host.go
@@ -169,9 +169,9 @@
 	case h.fault(HostHangs) || how == drainsearch.Nothing:
 		h.awaitEnd(r, a)
 	case drains || how == drainsearch.Busy:
-		h.says(c, a, "BUSY", resultNeverRan)
+		h.says(c, r, a, "BUSY", resultNeverRan)
 	case how == drainsearch.Errs:
-		h.says(c, a, "ERR", resultMayHaveRun)
+		h.says(c, r, a, "ERR", resultMayHaveRun)
 	case how == drainsearch.Resets:
 		w.over(a, resultMayHaveRun)
 		reset(c)
@@ -187,8 +187,10 @@
 }
 
 // says ends an attempt with a line.
-func (h *host) says(c net.Conn, a *attempt, line string, result attemptResult) {
-	h.delays()
+func (h *host) says(c net.Conn, r *bufio.Reader, a *attempt, line string, result attemptResult) {
+	if !h.delays(c, r, a) {
+		return
+	}
 	h.world.over(a, result) // from here on it is over for who reads the line
 	_ = h.write(c, line+"\r\n")
 }
@@ -213,16 +215,23 @@
 // hostDelay is how late a slow host answers.
 const hostDelay = 200 * time.Millisecond
 
-func (h *host) delays() {
-	if h.fault(HostDelays) {
-		h.world.sleep(hostDelay)
+// delays has an answer come late where the host does so now; false if the balancer has given the attempt up meanwhile.
+func (h *host) delays(c net.Conn, r *bufio.Reader, a *attempt) bool {
+	if !h.fault(HostDelays) {
+		return true
+	}
+	_ = c.SetReadDeadline(time.Now().Add(hostDelay))
+	defer func() { _ = c.SetReadDeadline(time.Time{}) }()
+	if _, err := r.Peek(1); err != nil && !timedOut(err) {
+		h.world.over(a, resultMayHaveRun)
+		return false
 	}
+	return true
 }
 
 // up brings a connection up and answers its lines until one side ends it.
 func (h *host) up(c net.Conn, r *bufio.Reader, a *attempt) {
-	h.delays()
-	if !h.world.stands(a) {
+	if !h.delays(c, r, a) || !h.world.stands(a) {
 		return
 	}
 	if h.write(c, "UP "+a.receipt+"\r\n") != nil {
--- a/internal/lab/soak/node.go
+++ b/internal/lab/soak/node.go
@@ -47,14 +47,17 @@
 		return nil, err
 	}
 	n.endpoints = []*endpoint{e}
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return nil, err
-	}
-	n.listen = l.Addr().String()
-	return n, l.Close()
+	n.listen = fmt.Sprintf("127.%d.%d.%d:%d", listenNet+os.Getpid()%100, w.number/200+1, w.number%200+1, listenPort+number)
+	return n, nil
 }
 
+// Where balancers listen: each run has a loopback address of its own, which neither another run nor a port that the system
+// hands out can take.
+const (
+	listenNet  = 101
+	listenPort = 3000
+)
+
 // current is where discovery serves it now.
 func (n *node) current() *endpoint {
 	n.mu.Lock()
--- a/internal/lab/soak/rules.go
+++ b/internal/lab/soak/rules.go
@@ -14,6 +14,9 @@
 // slack is by how much each time limit grows on sockets.
 const slack = 50 * time.Millisecond
 
+// DrainReadStrictly is the drain rule where only a reading milder than the pages' words would excuse a break.
+const DrainReadStrictly = "drain, read strictly"
+
 // goneSlack is how long after its client went a request may still be attempted.
 const goneSlack = 100 * time.Millisecond
 
@@ -27,7 +30,11 @@
 	if current { // the list's clocks of an earlier process are gone
 		if broken := w.audit.Sent(q.node.number, a.host.listed.ID, a.began); broken != nil && broken.Late > doubt {
 			broken.Since(start)
-			w.broke(Break{Rule: "drain", At: a.began - start, Node: q.node.name, Host: a.host.listed.ID, Request: q.id, What: broken.Error()})
+			rule := "drain"
+			if broken.Excused() != "" {
+				rule = DrainReadStrictly
+			}
+			w.broke(Break{Rule: rule, At: a.began - start, Node: q.node.name, Host: a.host.listed.ID, Request: q.id, What: broken.Error()})
 		}
 	}
 	if q.left > 0 && a.began > q.left+goneSlack+doubt {
--- a/internal/lab/soak/script.go
+++ b/internal/lab/soak/script.go
@@ -4,6 +4,10 @@
 package soak
 
 import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
 	"time"
 
 	"tealtiller/internal/lab/drainsearch"
@@ -111,3 +115,71 @@
 	}
 	return all
 }
+
+// Parse reads a script as json.Marshal writes it, and refuses one that cannot be played.
+func Parse(text []byte) (*Script, error) {
+	var s Script
+	decoder := json.NewDecoder(bytes.NewReader(text))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&s); err != nil {
+		return nil, fmt.Errorf("script: %w", err)
+	}
+	return &s, s.check()
+}
+
+// Bounds of a script: the machine's.
+const (
+	mostBalancers = 30
+	mostHosts     = 100
+	longestRun    = 10 * time.Minute
+)
+
+// check tells what of a script is out of range.
+func (s *Script) check() error {
+	if s.Balancers < 1 || s.Balancers > mostBalancers || s.Hosts < 1 || s.Hosts > mostHosts || s.Length <= 0 || s.Length > longestRun ||
+		s.MaxAttempts < 1 || s.Deadline <= 0 {
+		return errors.New("script: balancers, hosts, length, attempts or deadline out of range")
+	}
+	for _, balancer := range s.namedBalancers() {
+		if balancer < 0 || balancer >= s.Balancers {
+			return fmt.Errorf("script: no balancer %d", balancer)
+		}
+	}
+	for _, f := range s.HostFaults {
+		if f.Host < 0 || f.Host >= s.Hosts {
+			return fmt.Errorf("script: no host %d", f.Host)
+		}
+	}
+	for _, c := range s.Changes {
+		if c.Host < 0 || c.Host >= s.Hosts {
+			return fmt.Errorf("script: no host %d", c.Host)
+		}
+	}
+	return nil
+}
+
+// namedBalancers are the balancers that the events name.
+func (s *Script) namedBalancers() (all []int) {
+	for _, r := range s.Requests {
+		all = append(all, r.Balancer)
+	}
+	for _, r := range s.Reloads {
+		all = append(all, r.Balancer)
+	}
+	for _, r := range s.Restarts {
+		all = append(all, r.Balancer)
+	}
+	for _, t := range s.Terminations {
+		all = append(all, t.Balancer)
+	}
+	for _, c := range s.Crowds {
+		all = append(all, c.Balancer)
+	}
+	for _, r := range s.Resting {
+		all = append(all, r.Balancer)
+	}
+	for _, p := range s.Pauses {
+		all = append(all, p.Balancer)
+	}
+	return all
+}
--- a/internal/lab/soak/world.go
+++ b/internal/lab/soak/world.go
@@ -5,7 +5,9 @@
 	"fmt"
 	"os"
 	"slices"
+	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"tealtiller/internal/lab/drainaudit"
@@ -18,6 +20,7 @@
 
 // world is one run. One lock guards what its goroutines share.
 type world struct {
+	number  int // of the runs of this program
 	script  *Script
 	options Options
 	origin  time.Time
@@ -60,6 +63,11 @@
 	What    string
 }
 
+// String is the event as a line of the record.
+func (e Event) String() string {
+	return strings.TrimRight(fmt.Sprintf("%8.3f  %-4s %-6s %s  %s", e.At.Seconds(), e.Node, e.Host, e.What, e.Request), " ")
+}
+
 // Result is what a run has shown.
 type Result struct {
 	Breaks   []Break
@@ -71,12 +79,15 @@
 	Events   []Event
 }
 
+// runs counts the runs of this program.
+var runs atomic.Int64
+
 // Play plays a script.
 func Play(script *Script, options Options) (*Result, error) {
 	if err := os.MkdirAll(options.Folder, 0o700); err != nil {
 		return nil, err
 	}
-	w := &world{script: script, options: options, origin: time.Now(), news: make(chan struct{}), requests: map[string]*requestRecord{},
+	w := &world{number: int(runs.Add(1)), script: script, options: options, origin: time.Now(), news: make(chan struct{}), requests: map[string]*requestRecord{},
 		audit: drainaudit.New(drainaudit.Rules{Pushed: script.Pushed, Grace: script.Grace, AskWithin: script.AskWithin})}
 	w.ctx, w.stop = context.WithCancel(context.Background())
 	w.jitter = newJitter(w)
