One watch goes on where two calls for the list were answered

Watcher.answered had each answered connection go on with the next call, and set the other one overdue: two long polls, for good, and twice the price. Now an overdue call whose answer comes after that of another call, made later, is taken and its connection ended.

--- a/internal/discovery/hedge_test.go
+++ b/internal/discovery/hedge_test.go
@@ -117,6 +117,28 @@
 	assert.Equal(t, map[int]bool{first: true}, r.open)
 }
 
+// Where two calls are answered, one watch goes on. Danger: each would go on as a watch of its own, for good, and a discovery that
+// was slow for a moment would have twice the calls from then on.
+func TestOneWatchGoesOn(t *testing.T) {
+	w, r, q := newWatched()
+	first := w.made
+	runUntil(q, watchStart+wholeLimit)
+	second := w.made
+	w.Connected(watchStart+wholeLimit, second)
+	now := watchStart + wholeLimit + ms
+	for revision := 42; revision < 46; revision++ {
+		for _, connection := range []int{first, second} {
+			if r.open[connection] {
+				w.Received(now, connection, whole(revision, "in_service"))
+			}
+			now += ms
+		}
+	}
+	assert.Equal(t, map[int]bool{first: true}, r.open)
+	assert.Len(t, r.lists, 5, "the second call's answer too")
+	assert.Len(t, r.requests, 2+4)
+}
+
 // An overdue call that never gets its answer is left in the end, and its later failure is none of the watch.
 func TestOverdueCallsEnd(t *testing.T) {
 	w, r, q := newWatched()
--- a/internal/discovery/watcher.go
+++ b/internal/discovery/watcher.go
@@ -274,28 +274,30 @@
 	}
 }
 
-// answered takes a list. The watch goes on where the answer came, also of an overdue call: a call that is under way beside
-// it stays open, as its answer may be newer.
+// answered takes a list. The watch goes on where the first answer came, also that of an overdue call: a call that is under
+// way beside it stays open, as its answer may be newer, and its connection ends with that.
 func (w *Watcher) answered(now time.Duration, c *connection, list *List, keep bool) {
 	list.Told = w.toldSince(now, c)
+	other := w.current()
+	beside := other != nil && other != c
+	watched := beside && w.heardAt > c.asked // another call, made later, was answered before
 	w.heardAt, w.olderAt = now, 0
 	w.deadlines.Stop(c.limit)
 	w.deadlines.Stop(w.retry)
 	c.waiting = false
 	w.Answered()
 	w.on = true
-	other := w.current()
 	switch {
-	case keep && other != nil && other != c:
+	case watched, beside && !keep:
+		w.drop(c)
+	case beside:
 		w.setOverdue(now, other)
 		w.ask(now, c)
 	case keep:
 		w.ask(now, c)
 	default:
 		w.drop(c)
-		if w.current() == nil {
-			w.dial(now)
-		}
+		w.dial(now)
 	}
 	w.observer.Listed(now, list)
 }
