--- a/cmd/tealtiller/main.go
+++ b/cmd/tealtiller/main.go
@@ -23,7 +23,7 @@
 
 type commands struct {
 	LogFormat string     `enum:"text,json" default:"text" env:"EDGE_LOG_FORMAT" help:"How the log is written: ${enum}."`
-	LogLevel  slog.Level `default:"info" env:"EDGE_LOG_LEVEL" help:"The least that is logged: debug adds each route step, report and move."`
+	LogLevel  slog.Level `default:"info" env:"EDGE_LOG_LEVEL" help:"The least that is logged: debug adds each attempt, report and move."`
 
 	Serve   serve   `cmd:"" default:"withargs" help:"Serve clients; what runs where no sub-command is named."`
 	Check   check   `cmd:"" help:"Check operator's files and tell every error; exit code 1 if there is one."`
--- a/internal/lab/count_standing.go
+++ b/internal/lab/count_standing.go
@@ -45,9 +45,9 @@
 // take follows a line of the log; most tell of no connection.
 func (s *standingConnections) take(l logLine) {
 	switch l.event {
-	case "step-up":
+	case "attempt-up":
 		s.stands(l.fields["id"], connection{balancer: l.balancer, host: l.fields["host"], key: l.fields["key"]})
-	case "step-ended", "moved", "moved-silent":
+	case "attempt-ended", "moved", "moved-silent":
 		s.ended(l)
 	case "listed":
 		s.list(l)
--- a/internal/lab/count_tally.go
+++ b/internal/lab/count_tally.go
@@ -55,8 +55,8 @@
 // lineCounters are what is counted of a kind of line, beside that it came.
 var lineCounters = map[string]func(*tally, logLine){
 	"probe-sent":       (*tally).probeSent,
-	"step-sent":        (*tally).attemptSent,
-	"step-ended":       (*tally).attemptEnded,
+	"attempt-sent":        (*tally).attemptSent,
+	"attempt-ended":       (*tally).attemptEnded,
 	"report":           (*tally).report,
 	"listed":           (*tally).listed,
 	"discovery-answer": (*tally).discoveryAnswer,
@@ -72,7 +72,7 @@
 		return withReason(l.event+" "+clientKind(l), l)
 	case "client-refused":
 		return withReason(l.event, l)
-	case "step-ended":
+	case "attempt-ended":
 		name := l.event + " " + l.fields["result"]
 		if l.isTrue("stood") {
 			name += ", stood"
--- a/internal/lab/count_test.go
+++ b/internal/lab/count_test.go
@@ -23,9 +23,9 @@
 0.002 time=2026-12-01T17:00:00.200Z level=DEBUG msg=discovery-answer balancer=n0 revision=7 complete=true members=2
 0.003 time=2026-12-01T17:00:00.300Z level=DEBUG msg=probe-sent balancer=n0 host=b kept=false
 0.003 time=2026-12-01T17:00:00.310Z level=DEBUG msg=report balancer=n0 host=b x0=0.25 util=0.3 backlog=0s
-0.003 time=2026-12-01T17:00:00.400Z level=DEBUG msg=step-sent balancer=n0 host=b id=1
-0.004 time=2026-12-01T17:00:00.500Z level=DEBUG msg=step-up balancer=n0 host=b id=1 returned=true mid=false
-0.004 time=2026-12-01T17:00:02.500Z level=DEBUG msg=step-ended balancer=n0 host=b id=1 stood=true result=reset after=2s
+0.003 time=2026-12-01T17:00:00.400Z level=DEBUG msg=attempt-sent balancer=n0 host=b id=1
+0.004 time=2026-12-01T17:00:00.500Z level=DEBUG msg=attempt-up balancer=n0 host=b id=1 returned=true mid=false
+0.004 time=2026-12-01T17:00:02.500Z level=DEBUG msg=attempt-ended balancer=n0 host=b id=1 stood=true result=reset after=2s
 panic: something
 `), 0o600))
 	require.NoError(t, os.Mkdir(filepath.Join(folder, "n1"), 0o700))
@@ -42,7 +42,7 @@
 	assert.Equal(t, []int{2, 1, 3}, []int{c.Balancers, c.Unread, c.Seconds})
 	assert.Equal(t, []int{1, 1, 0}, c.Events["discovery-answer"])
 	assert.Equal(t, []int{0, 1, 0}, c.Events["refused returned"])
-	assert.Equal(t, []int{0, 0, 1}, c.Events["step-ended reset, stood"])
+	assert.Equal(t, []int{0, 0, 1}, c.Events["attempt-ended reset, stood"])
 	assert.Equal(t, map[string][]int{"questions": {1, 0, 0}, "steps": {1, 0, 0}, "cold steps": {1, 0, 0},
 		"standing": {1, 1, 0}, "dropped": {0, 0, 1}, "load": {25, 150, -1}}, c.Hosts["b"])
 	assert.Equal(t, 2, c.Knew[7].Balancers)
@@ -82,14 +82,14 @@
 		0.0 listed host=a state=1 started_ms=5000
 		0.0 listed host=b state=1 started_ms=5000
 		0.0 listed host=c state=1 started_ms=5000
-		0.1 step-up host=a id=1 key=7
-		0.2 step-up host=b id=2 key=7
-		1.5 step-ended host=a id=1 stood=true result=ok
+		0.1 attempt-up host=a id=1 key=7
+		0.2 attempt-up host=b id=2 key=7
+		1.5 attempt-ended host=a id=1 stood=true result=ok
 		2.1 listed host=c state=0 started_ms=5000
-		3.1 step-ended host=b id=2 stood=true result=ok
-		3.2 step-ended host=b id=9 stood=false result=busy`, "n1": `
-		0.3 step-up host=a id=3 key=7
-		0.4 step-up host=b id=4 key=8
+		3.1 attempt-ended host=b id=2 stood=true result=ok
+		3.2 attempt-ended host=b id=9 stood=false result=busy`, "n1": `
+		0.3 attempt-up host=a id=3 key=7
+		0.4 attempt-up host=b id=4 key=8
 		2.5 moved host=a id=3 key=7
 		2.9 listed host=c state=1 started_ms=5000
 		3.3 moved host=b id=4 key=8`})
@@ -107,10 +107,10 @@
 // A connection that a silent desk host loses is told twice, and once only taken off: the other one stands.
 func TestAConnectionEndsOnce(t *testing.T) {
 	c := countText(t, map[string]string{"n0": `
-		0.1 step-up host=a id=1 key=7
-		0.2 step-up host=a id=2 key=7
+		0.1 attempt-up host=a id=1 key=7
+		0.2 attempt-up host=a id=2 key=7
 		1.1 moved-silent host=a id=1 key=7
-		1.1 step-ended host=a id=1 key=7 stood=true result=reset`})
+		1.1 attempt-ended host=a id=1 key=7 stood=true result=reset`})
 	assert.Equal(t, []int{2, 1}, c.Fleet.Connections)
 	assert.Equal(t, []int{2, 1}, c.Hosts["a"]["standing"])
 }
@@ -119,15 +119,15 @@
 // anew without a word of client 2. n2 hands over to a second process, which ends what the first one began.
 func TestConnectionsOutliveProcesses(t *testing.T) {
 	c := countText(t, map[string]string{"n0": `
-		0.1 step-up host=a id=1 key=7
-		0.2 step-up host=a id=2 key=8
-		1.2 step-ended host=a id=1 key=7 stood=true result=cancelled
+		0.1 attempt-up host=a id=1 key=7
+		0.2 attempt-up host=a id=2 key=8
+		1.2 attempt-ended host=a id=1 key=7 stood=true result=cancelled
 		2.5 ready`, "n1": `
-		1.1 step-up host=a id=1 key=7 mid=true`, "n2": `
-		0.3 step-up host=b id=3 key=9
+		1.1 attempt-up host=a id=1 key=7 mid=true`, "n2": `
+		0.3 attempt-up host=b id=3 key=9
 		1.1 joined-running-process
 		1.3 ready
-		3.1 step-ended host=b id=3 key=9 stood=true result=ok`})
+		3.1 attempt-ended host=b id=3 key=9 stood=true result=ok`})
 	assert.Equal(t, []int{3, 3, 2, 1}, c.Fleet.Connections)
 	assert.Equal(t, []int{3, 3, 2, 1}, c.Fleet.Pieces)
 	assert.Equal(t, []int{2, 2, 1, 1}, c.Hosts["a"]["standing"])
@@ -139,7 +139,7 @@
 	c := countText(t, map[string]string{"n0": `
 		0.1 listed host=a state=1 started_ms=5000
 		0.1 listed host=b state=1 started_ms=5000
-		0.2 step-up host=a id=1 key=7
+		0.2 attempt-up host=a id=1 key=7
 		1.1 listed host=b state=2 started_ms=5000
 		2.1 listed host=b state=0 started_ms=0
 		3.1 listed host=b state=1 started_ms=9000`, "n1": `
@@ -151,14 +151,14 @@
 // Two balancers choose a within 100 ms, one of them twice, and a third in the next 100 ms; in second 1 all three choose b.
 func TestAHerdIsBalancersThatChooseOneDeskHostAtOnce(t *testing.T) {
 	c := countText(t, map[string]string{"n0": `
-		0.00 step-sent host=a id=1 key=7
-		0.05 step-sent host=a id=2 key=7
-		1.31 step-sent host=b id=5 key=7`, "n1": `
-		0.09 step-sent host=a id=3 key=7
-		1.35 step-sent host=b id=6 key=7`, "n2": `
-		0.10 step-sent host=a id=4 key=7
-		1.39 step-sent host=b id=7 key=7
-		1.40 step-sent host=a id=8 key=7
+		0.00 attempt-sent host=a id=1 key=7
+		0.05 attempt-sent host=a id=2 key=7
+		1.31 attempt-sent host=b id=5 key=7`, "n1": `
+		0.09 attempt-sent host=a id=3 key=7
+		1.35 attempt-sent host=b id=6 key=7`, "n2": `
+		0.10 attempt-sent host=a id=4 key=7
+		1.39 attempt-sent host=b id=7 key=7
+		1.40 attempt-sent host=a id=8 key=7
 		2.00 report host=a x0=0.5`})
 	assert.Equal(t, []int{2, 3, 0}, c.Fleet.Herd)
 }
@@ -175,7 +175,7 @@
 
 // A key of 64 bits has more digits than a float holds: two that differ in the last one are two groups.
 func TestKeysAreReadExactly(t *testing.T) {
-	line, ok := readLine(`{"time":"2026-12-01T12:00:00Z","balancer":"n0","msg":"step-up","key":18446744073709551615}`)
+	line, ok := readLine(`{"time":"2026-12-01T12:00:00Z","balancer":"n0","msg":"attempt-up","key":18446744073709551615}`)
 	require.True(t, ok)
 	assert.Equal(t, "18446744073709551615", line.fields["key"])
 }
@@ -183,7 +183,7 @@
 func TestFleetFiguresArePrinted(t *testing.T) {
 	c := countText(t, map[string]string{"n0": `
 		0.1 listed host=a state=1 started_ms=5000
-		1.1 step-up host=a id=1 key=7`})
+		1.1 attempt-up host=a id=1 key=7`})
 	var out bytes.Buffer
 	require.NoError(t, c.Print(&out))
 	for _, row := range []string{"connections 0 1", "groups 0 1", "pieces 0 1", "variation . 0", "herd 0 0"} {
--- a/internal/net/acceptfailure_test.go
+++ b/internal/net/acceptfailure_test.go
@@ -56,7 +56,7 @@
 	b.take(c)
 	r.peers["b"] = b
 	r.steps("b send PING", "b expect PONG", "b send OPEN 2 b c=lookup,d=4000", "e accept", "e expect OPEN *", "e send UP r2", "b expect UP r2",
-		"a send still there", "d expect still there", "wait count front sockets accepted 2")
+		"a send still there", "d expect still there", "wait count client connections accepted 2")
 }
 
 // At its end the balancer looks whether clients wait to be accepted. Where it has no descriptor to look with, it is asked again.
--- a/internal/net/admin.go
+++ b/internal/net/admin.go
@@ -102,11 +102,11 @@
 	for class := range n.cfg.Settings.Policy.Classes {
 		ends[class] = ends[class] // also those that nobody has asked for yet
 	}
-	f := admin.Figures{Classes: ends, Attempts: n.count["route steps written"], Pending: n.table.Len(),
+	f := admin.Figures{Classes: ends, Attempts: n.count["attempts written"], Pending: n.table.Len(),
 		Reloads: n.count["configurations taken in"], Refused: n.count["configurations refused"]}
 	f.Members, f.Unavailable = n.table.Listed(now)
 	f.List = admin.List{Revision: n.watch.status.revision, Unheard: n.watch.unheard(now), Calls: n.count["discovery calls"],
-		Failed: n.count["discovery calls failed"], NotWritten: n.count["route steps not written: no longer allowed"]}
+		Failed: n.count["discovery calls failed"], NotWritten: n.count["attempts not written: no longer allowed"]}
 	f.Plan = n.weigher.Figures(now)
 	for _, c := range n.fleet.Figures(now) {
 		f.Cells = append(f.Cells, admin.Cell(c))
--- a/internal/net/carrier.go
+++ b/internal/net/carrier.go
@@ -17,7 +17,7 @@
 func (c carrier) Begin(owner slot.ID, server string, until time.Duration) error {
 	d, ok := c.node.downstreams.Get(owner)
 	if !ok {
-		return fmt.Errorf("front socket %d is gone", owner)
+		return fmt.Errorf("client connection %d is gone", owner)
 	}
 	return c.node.begin(d, server, until)
 }
@@ -28,7 +28,7 @@
 		return false
 	}
 	u := d.upstream
-	u.traceAttempt("step-abandoned", "sent", u.sent)
+	u.traceAttempt("attempt-abandoned", "sent", u.sent)
 	u.drop(false)
 	return u.sent
 }
--- a/internal/net/closing.go
+++ b/internal/net/closing.go
@@ -39,7 +39,7 @@
 	d.limit = d.node.deadlines.Set(now+most, func(now time.Duration) {
 		d.limit = nil
 		if d.conclude(now, last) {
-			d.node.count.Add("front sockets closed: silent")
+			d.node.count.Add("client connections closed: silent")
 		}
 	})
 }
--- a/internal/net/dial.go
+++ b/internal/net/dial.go
@@ -21,10 +21,10 @@
 	case !ok:
 		return errors.New("no address of " + server)
 	case d.hungUp(): // the loop is about to hear of it, and ends the request
-		n.count.Add("route steps not begun: client gone")
+		n.count.Add("attempts not begun: client gone")
 		return nil
 	case !n.spare(2): // danger: a dial without a descriptor would look like an ill host
-		n.count.Add("route steps not begun: no descriptors")
+		n.count.Add("attempts not begun: no descriptors")
 		return request.ErrNoRoom
 	}
 	u := &upstream{node: n, downstream: d, server: server, until: until, last: policy.Reset}
--- a/internal/net/dialfailure_test.go
+++ b/internal/net/dialfailure_test.go
@@ -58,7 +58,7 @@
 			r.set["tries"] = "1"
 			calls := r.failingFirst(3, cause)
 			r.steps("a connect", "a send OPEN 1 a c=lookup,d=4000", "d accept", "d expect OPEN 1 a *", "d send UP r1", "a expect UP r1",
-				"wait count route steps sent 1", "wait count route steps written 1")
+				"wait count attempts sent 1", "wait count attempts written 1")
 			assert.EqualValues(t, 4, calls.Load())
 		})
 	}
@@ -79,7 +79,7 @@
 				return nil
 			}
 			r.steps("a connect", "a send OPEN 1 a c=lookup,d=4000", "a expect BUSY *", "a wait fin",
-				"wait count route steps ended: moot 1+", "wait count route steps ended: connect failed 0", "wait count route steps written 0")
+				"wait count attempts ended: moot 1+", "wait count attempts ended: connect failed 0", "wait count attempts written 0")
 			assert.Zero(t, r.avoided())
 			failing.Store(false)
 			r.steps("b connect", "b send OPEN 2 a c=lookup,d=4000", "d accept", "d expect OPEN 2 a *", "d send UP r1", "b expect UP r1")
@@ -106,7 +106,7 @@
 			r.set["tries"] = "1"
 			calls := r.failingFirst(1, failure("connect", cause))
 			r.steps("a connect", "a send OPEN 1 a c=lookup,d=4000", "a expect BUSY *",
-				"wait count route steps ended: "+request.Results[policy.ConnectFailed]+" 1")
+				"wait count attempts ended: "+request.Results[policy.ConnectFailed]+" 1")
 			assert.EqualValues(t, 1, calls.Load())
 		})
 	}
--- a/internal/net/downstream.go
+++ b/internal/net/downstream.go
@@ -38,7 +38,7 @@
 }
 
 func (d *downstream) opened(now time.Duration, c gnet.Conn) gnet.Action {
-	d.node.count.Add("front sockets accepted")
+	d.node.count.Add("client connections accepted")
 	d.conn = c
 	_ = c.SetNoDelay(true) // danger: a last line that the system holds back goes with the connection
 	if d.taken {           // it stands: the upstream follows
@@ -52,7 +52,7 @@
 	enough := d.node.room(0)
 	d.conn = c
 	if !enough {
-		d.node.count.Add("front sockets refused: too many")
+		d.node.count.Add("client connections refused: too many")
 		d.node.trace("client-refused", "reason", noDescriptors, "back", shortage)
 		d.say(d.node.busyLine(shortage))
 		if d.finish(now); d.node.left() < -overdrawn {
--- a/internal/net/drain.go
+++ b/internal/net/drain.go
@@ -77,7 +77,7 @@
 		n.reopen()
 		return false
 	}
-	return n.parted(now, latest)
+	return n.closeOut(now, latest)
 }
 
 // tooLate tells that a request is not begun any more. Danger: where packets pass through, a drain goes on after the latest
@@ -109,45 +109,45 @@
 // lastGoodbye is how long those that are told to go have at the end, to read so and to close their side.
 const lastGoodbye = 300 * time.Millisecond
 
-// parted closes the door, then the side of each client that rests, and tells whether all have gone or had their time.
+// closeOut stops new handshakes, closes the side of each client that rests, and tells whether all have gone or had their time.
 //
 // Danger: the end of the process resets what is unread and what waits to be accepted. A request may come on a resting
 // connection, or a client connect, in that very moment: so no new connection begins any more, those that have begun are
 // accepted, and what lies unread is read, before the listener ends.
-func (n *Node) parted(now, latest time.Duration) bool {
-	if n.parting == 0 {
-		n.parting, n.partedBy = now, now+lastGoodbye
+func (n *Node) closeOut(now, latest time.Duration) bool {
+	if n.closingSince == 0 {
+		n.closingSince, n.closeBy = now, now+lastGoodbye
 		if !n.cfg.Settings.PassThrough { // who is killed soon after has no more time
-			n.partedBy = min(n.partedBy, latest+3*drainCheck)
+			n.closeBy = min(n.closeBy, latest+3*drainCheck)
 		}
-		n.door(false)
+		n.admitHandshakes(false)
 	}
 	for _, d := range n.downstreams.All() {
 		d.conclude(now, n.busyLine(0))
 	}
-	if now >= n.partedBy {
+	if now >= n.closeBy {
 		n.answerOwed(now) // danger: one that lay there was taken just now
 		return true
 	}
 	if n.table.Owed() > 0 { // a request lay there
 		return false
 	}
-	waits := now-n.parting < drainCheck || n.downstreams.Len() > 0
+	waits := now-n.closingSince < drainCheck || n.downstreams.Len() > 0
 	return !waits && n.shut()
 }
 
 // reopen lets connections begin again: a request was read at the last moment, and what comes of it is carried on.
 func (n *Node) reopen() {
-	if n.parting > 0 {
-		n.parting = 0
-		n.door(true)
+	if n.closingSince > 0 {
+		n.closingSince = 0
+		n.admitHandshakes(true)
 	}
 }
 
-// door lets connections begin at our listener, or none: a first packet that asks for one is then dropped, and its sender,
+// admitHandshakes lets connections begin at our listener, or none: a first packet that asks for one is then dropped, and its sender,
 // who asks again after a second, finds nobody. Packets of those that have begun pass. Where the system refuses that, what
 // remains is to look at the queue.
-func (n *Node) door(open bool) {
+func (n *Node) admitHandshakes(open bool) {
 	fd, err := n.engine.DupListener("tcp", n.cfg.Listen)
 	if err != nil {
 		return
--- a/internal/net/drain_test.go
+++ b/internal/net/drain_test.go
@@ -42,7 +42,7 @@
 				"stands connect", "stands send OPEN 1 a c=lookup,d=9000", "d accept", "d expect OPEN *", "d send UP r1", "stands expect UP r1",
 				"owed connect", "owed send OPEN 2 a c=lookup,d=9000", "e accept", "e expect OPEN *",
 				"rests connect", "rests send PING", "rests expect PONG",
-				"half connect", "half send OPEN 3 a...", "wait count front sockets accepted 4"} {
+				"half connect", "half send OPEN 3 a...", "wait count client connections accepted 4"} {
 				require.NoError(t, r.step(step), step)
 			}
 			took := r.drain()
@@ -60,7 +60,7 @@
 	r := newRig(t)
 	r.set["mode"], r.set["deadline"] = "proxy", "10s"
 	require.NoError(t, r.step("a connect"))
-	require.NoError(t, r.step("wait count front sockets accepted 1"))
+	require.NoError(t, r.step("wait count client connections accepted 1"))
 	assert.LessOrEqual(t, r.drain(), settled+lastGoodbye+drainCheck)
 }
 
@@ -87,7 +87,7 @@
 		clients = append(clients, client)
 		require.NoError(t, r.step(client+" connect"))
 	}
-	require.NoError(t, r.step("wait count front sockets accepted 40"))
+	require.NoError(t, r.step("wait count client connections accepted 40"))
 	r.onLoop(func(now time.Duration) {
 		n := r.node
 		n.stopping, n.lastOpen = true, now
--- a/internal/net/gate_test.go
+++ b/internal/net/gate_test.go
@@ -15,7 +15,7 @@
 func TestGateBeforeTheFirstLine(t *testing.T) {
 	r := newRig(t)
 	r.set["connect"] = "9s"
-	for _, step := range []string{"hold", "a connect", "a send OPEN 1 a c=lookup,d=9000", "wait count route steps sent 1"} {
+	for _, step := range []string{"hold", "a connect", "a send OPEN 1 a c=lookup,d=9000", "wait count attempts sent 1"} {
 		require.NoError(t, r.step(step))
 	}
 	ask := func(before func(u *upstream), later time.Duration) (result policy.Result, ok bool) {
@@ -45,5 +45,5 @@
 	assert.Equal(t, policy.Moot, result)
 	require.NoError(t, r.step("let"))
 	require.NoError(t, r.step("wait count clients gone before their answer 1"))
-	require.NoError(t, r.step("wait count route steps written 0"))
+	require.NoError(t, r.step("wait count attempts written 0"))
 }
--- a/internal/net/inherit.go
+++ b/internal/net/inherit.go
@@ -51,7 +51,7 @@
 		if !n.link.send(handover.Message{Kind: handover.Front, Number: int(silent), FromClient: kept}, d.conn) {
 			return false
 		}
-		n.count.Add("front sockets passed on")
+		n.count.Add("client connections passed on")
 	case u != nil && u.up && u.conn != nil && u.conn.OutboundBuffered() == 0:
 		m := handover.Message{Kind: handover.Stand, Server: u.server, Opening: d.opening.Text(), FromClient: kept,
 			FromDesk: bytes.Clone(u.peek())}
@@ -104,11 +104,11 @@
 	if n.downstreams.Len() > 0 || n.table.Len() > 0 {
 		return false
 	}
-	if n.parting == 0 { // those whose connection has begun are still accepted; who asks again finds the other process
-		n.parting = now
-		n.door(false)
+	if n.closingSince == 0 { // those whose connection has begun are still accepted; who asks again finds the other process
+		n.closingSince = now
+		n.admitHandshakes(false)
 	}
-	return now-n.parting >= drainCheck && n.shut()
+	return now-n.closingSince >= drainCheck && n.shut()
 }
 
 // shut ends the listener if nobody waits there. Danger: ending it resets those that do, so nothing may come between
--- a/internal/net/inherit_test.go
+++ b/internal/net/inherit_test.go
@@ -33,8 +33,8 @@
 		})
 		require.NoError(t, r.node.enroll(sockets[0], conn))
 	}
-	for _, step := range []string{"half expect ERR *", "half wait fin", "wait count route steps not begun: client gone 2",
-		"wait count clients gone before their answer 2", "wait count route steps written 0"} {
+	for _, step := range []string{"half expect ERR *", "half wait fin", "wait count attempts not begun: client gone 2",
+		"wait count clients gone before their answer 2", "wait count attempts written 0"} {
 		require.NoError(t, r.step(step), step)
 	}
 }
--- a/internal/net/node.go
+++ b/internal/net/node.go
@@ -79,20 +79,20 @@
 	callers     []*caller // in order of their coming
 	admin       string    // the second address as the listener names it; empty without one
 
-	waits    bool // for somebody to start it; of OnTick alone
-	events   []func(now time.Duration)
-	busy     bool
-	timer    *time.Timer
-	timerAt  time.Duration
-	stopping bool
-	parting  time.Duration // when the clients that rest were told to go; 0 before that
-	partedBy time.Duration // and when they have had their time
-	overdue  bool          // the latest moment has come, and what was owed has its answer
-	lastOpen time.Duration // when the last OPEN came
-	stopped  chan struct{}
-	last     *link         // the one whose messages must be written before the process ends
-	silence  time.Duration // how long a client's line may stay unanswered
-	patience time.Duration // how long a downstream socket may go without a whole command
+	waits        bool // for somebody to start it; of OnTick alone
+	events       []func(now time.Duration)
+	busy         bool
+	timer        *time.Timer
+	timerAt      time.Duration
+	stopping     bool
+	closingSince time.Duration // when the clients that rest were told to go; 0 before that
+	closeBy      time.Duration // and when they have had their time
+	overdue      bool          // the latest moment has come, and what was owed has its answer
+	lastOpen     time.Duration // when the last OPEN came
+	stopped      chan struct{}
+	last         *link         // the one whose messages must be written before the process ends
+	silence      time.Duration // how long a client's line may stay unanswered
+	patience     time.Duration // how long a downstream socket may go without a whole command
 
 	probeWait time.Duration // how long a desk host may take to answer a question
 	listDue   time.Duration // when nobody waits for it any more
--- a/internal/net/room.go
+++ b/internal/net/room.go
@@ -65,7 +65,7 @@
 			return false
 		}
 		if silent.linger || silent.conclude(n.now(), noRequest) { // else a request lay unread there
-			n.count.Add("front sockets closed: silent, descriptors short")
+			n.count.Add("client connections closed: silent, descriptors short")
 			silent.release()
 		}
 	}
--- a/internal/net/trace_test.go
+++ b/internal/net/trace_test.go
@@ -38,8 +38,8 @@
 		var out bytes.Buffer
 		u := &upstream{node: tracingNode(&out, groups), server: "b"}
 		u.downstream = &downstream{node: u.node, opening: opening(t)}
-		u.traceAttempt("step-up", "returned", true)
-		assert.Equal(t, "level=DEBUG msg=step-up host=b id=me-1 key="+key+" returned=true\n", out.String())
+		u.traceAttempt("attempt-up", "returned", true)
+		assert.Equal(t, "level=DEBUG msg=attempt-up host=b id=me-1 key="+key+" returned=true\n", out.String())
 	}
 }
 
--- a/internal/net/upstream.go
+++ b/internal/net/upstream.go
@@ -51,10 +51,10 @@
 		return gnet.Close
 	}
 	u.sent = true
-	u.traceAttempt("step-sent", "revision", u.node.watch.status.revision, "unheard", u.node.watch.unheard(now))
+	u.traceAttempt("attempt-sent", "revision", u.node.watch.status.revision, "unheard", u.node.watch.unheard(now))
 	u.node.write(c, u.downstream.opening.Forward(u.until-now)) // whole: a line fits a new connection's buffer
 	if u.conn != nil {
-		u.node.count.Add("route steps written")
+		u.node.count.Add("attempts written")
 	}
 	return gnet.None
 }
@@ -99,7 +99,7 @@
 		u.up, u.upAt = true, now
 		u.node.delays.of(u.server).fresh = true
 		u.node.count.Add("operations served")
-		u.traceAttempt("step-up", "returned", u.downstream.opening.Returned, "mid", u.downstream.opening.MidFlow)
+		u.traceAttempt("attempt-up", "returned", u.downstream.opening.Returned, "mid", u.downstream.opening.MidFlow)
 		u.node.zoneSaw(now, u.server, true)
 		u.node.write(u.downstream.conn, text)
 		u.node.table.Up(now, u.downstream.request)
@@ -141,7 +141,7 @@
 // close ends the socket and tells the outcome.
 func (u *upstream) close(now time.Duration, reset bool, result policy.Result) {
 	if !u.over {
-		u.traceAttempt("step-ended", "stood", u.up, "result", request.Results[result], "after", now-u.upAt)
+		u.traceAttempt("attempt-ended", "stood", u.up, "result", request.Results[result], "after", now-u.upAt)
 		if !u.up && (result == policy.Timeout || result == policy.ConnectFailed || result == policy.Reset || result == policy.Error) {
 			u.node.zoneSaw(now, u.server, false) // a full host that says BUSY is no sign of a broken zone
 		}
--- a/internal/request/attempt.go
+++ b/internal/request/attempt.go
@@ -14,7 +14,7 @@
 func (t *Table) begin(req *request, server string, timeout time.Duration) {
 	until := t.now + timeout
 	req.out = true
-	t.count.Add("route steps sent")
+	t.count.Add("attempts sent")
 	req.until = t.deadlines.Set(until, func(now time.Duration) { t.overdue(now, req) })
 	if err := t.carrier.Begin(req.owner, server, until); err != nil {
 		result := policy.ConnectFailed
@@ -33,9 +33,9 @@
 	case now >= until: // its deadline is due, and has not run yet
 		return policy.ConnectFailed, false
 	case clientGone():
-		t.count.Add("route steps not written: client gone")
+		t.count.Add("attempts not written: client gone")
 	case !t.allows(now, id):
-		t.count.Add("route steps not written: no longer allowed")
+		t.count.Add("attempts not written: no longer allowed")
 	default:
 		return 0, true
 	}
@@ -90,7 +90,7 @@
 	if req.stands {
 		t.count.Add("connections ended: " + Results[result])
 	} else {
-		t.count.Add("route steps ended: " + Results[result])
+		t.count.Add("attempts ended: " + Results[result])
 	}
 	over := req.answered || result == policy.OK
 	if !over && req.handed { // no other host can go on with it
--- a/internal/request/table_test.go
+++ b/internal/request/table_test.go
@@ -104,7 +104,7 @@
 		assert.Equal(t, "abandon 9", told[0])
 		assert.Contains(t, told[1], "begin 9 ")
 		assert.NotEqual(t, first, told[1])
-		name := map[bool]string{true: "route steps ended: timeout", false: "route steps ended: connect failed"}[sent]
+		name := map[bool]string{true: "attempts ended: timeout", false: "attempts ended: connect failed"}[sent]
 		assert.EqualValues(t, 1, b.count[name])
 	}
 }
