--- /dev/null
+++ b/internal/discovery/connection.go
@@ -0,0 +1,72 @@
+package discovery
+
+import (
+	"slices"
+	"time"
+
+	"tealtiller/internal/deadline"
+)
+
+// mostConnections is how many calls are open at a time, overdue ones included; one more ends the oldest. Each is spaced from
+// the next by the limit of its call, so the oldest has had 2.6 s and more, and all that a busy discovery holds of ours is
+// what we would have asked of it anyhow.
+const mostConnections = 4
+
+// overdueLife is how long an overdue call stays open at the most.
+const overdueLife = 10 * time.Second
+
+// connection is one connection to discovery and the call on it.
+type connection struct {
+	number    int
+	exchange  Exchange
+	overdue   bool
+	dialled   time.Duration
+	dialLimit time.Duration
+	calls     int // made on it
+	waiting   bool
+	heard     bool // some of the answer has come
+	asked     time.Duration
+	limit     *deadline.Deadline
+}
+
+// current is the connection whose call is not overdue; nil if there is none.
+func (w *Watcher) current() *connection {
+	if i := slices.IndexFunc(w.connections, func(c *connection) bool { return !c.overdue }); i >= 0 {
+		return w.connections[i]
+	}
+	return nil
+}
+
+// find is the connection of a number; nil if it was dropped.
+func (w *Watcher) find(number int) *connection {
+	if i := slices.IndexFunc(w.connections, func(c *connection) bool { return c.number == number }); i >= 0 {
+		return w.connections[i]
+	}
+	return nil
+}
+
+// setOverdue leaves a call to itself: its answer is taken if it comes.
+func (w *Watcher) setOverdue(now time.Duration, c *connection) {
+	c.overdue, c.exchange.superseded = true, true
+	w.deadlines.Stop(c.limit)
+	c.limit = w.deadlines.Set(now+overdueLife, func(time.Duration) { w.drop(c) })
+}
+
+// drop leaves a connection.
+func (w *Watcher) drop(c *connection) {
+	w.forget(c)
+	w.transport.Drop(c.number)
+}
+
+// forget takes a connection out of those in use.
+func (w *Watcher) forget(c *connection) {
+	w.deadlines.Stop(c.limit)
+	w.connections = slices.DeleteFunc(w.connections, func(o *connection) bool { return o == c })
+}
+
+func (w *Watcher) dropAll() {
+	w.deadlines.Stop(w.retry)
+	for len(w.connections) > 0 {
+		w.drop(w.connections[0])
+	}
+}
--- a/internal/discovery/watcher.go
+++ b/internal/discovery/watcher.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"slices"
 	"time"
 
 	"tealtiller/internal/deadline"
@@ -48,28 +47,6 @@
 	olderAt     time.Duration // when it first told an older list since then; 0 if it has not
 }
 
-// mostConnections is how many calls are open at a time, overdue ones included; one more ends the oldest. Each is spaced from
-// the next by the limit of its call, so the oldest has had 2.6 s and more, and all that a busy discovery holds of ours is
-// what we would have asked of it anyhow.
-const mostConnections = 4
-
-// overdueLife is how long an overdue call stays open at the most.
-const overdueLife = 10 * time.Second
-
-// connection is one connection to discovery and the call on it.
-type connection struct {
-	number    int
-	exchange  Exchange
-	overdue   bool
-	dialled   time.Duration
-	dialLimit time.Duration
-	calls     int // made on it
-	waiting   bool
-	heard     bool // some of the answer has come
-	asked     time.Duration
-	limit     *deadline.Deadline
-}
-
 // NewWatcher makes a watcher of the discovery at an address; it holds no list yet.
 func NewWatcher(address string, transport Transport, observer Observer, deadlines *deadline.Queue) *Watcher {
 	return &Watcher{Clock: Clock{Least: LeastGrace}, transport: transport, observer: observer, deadlines: deadlines,
@@ -105,22 +82,6 @@
 	w.dial(now)
 }
 
-// current is the connection whose call is not overdue; nil if there is none.
-func (w *Watcher) current() *connection {
-	if i := slices.IndexFunc(w.connections, func(c *connection) bool { return !c.overdue }); i >= 0 {
-		return w.connections[i]
-	}
-	return nil
-}
-
-// find is the connection of a number; nil if it was dropped.
-func (w *Watcher) find(number int) *connection {
-	if i := slices.IndexFunc(w.connections, func(c *connection) bool { return c.number == number }); i >= 0 {
-		return w.connections[i]
-	}
-	return nil
-}
-
 // dial begins a connection for the next call.
 func (w *Watcher) dial(now time.Duration) {
 	w.deadlines.Stop(w.retry)
@@ -150,32 +111,6 @@
 	w.follow(now, c, errNoAnswer, Silent)
 }
 
-// setOverdue leaves a call to itself: its answer is taken if it comes.
-func (w *Watcher) setOverdue(now time.Duration, c *connection) {
-	c.overdue, c.exchange.superseded = true, true
-	w.deadlines.Stop(c.limit)
-	c.limit = w.deadlines.Set(now+overdueLife, func(time.Duration) { w.drop(c) })
-}
-
-// drop leaves a connection.
-func (w *Watcher) drop(c *connection) {
-	w.forget(c)
-	w.transport.Drop(c.number)
-}
-
-// forget takes a connection out of those in use.
-func (w *Watcher) forget(c *connection) {
-	w.deadlines.Stop(c.limit)
-	w.connections = slices.DeleteFunc(w.connections, func(o *connection) bool { return o == c })
-}
-
-func (w *Watcher) dropAll() {
-	w.deadlines.Stop(w.retry)
-	for len(w.connections) > 0 {
-		w.drop(w.connections[0])
-	}
-}
-
 // failed takes that a call, or its connection, has come to nothing. One that was overdue has been followed by another.
 func (w *Watcher) failed(now time.Duration, c *connection, err error, how Failure) {
 	w.drop(c)
--- a/internal/lab/count_tally.go
+++ b/internal/lab/count_tally.go
@@ -55,8 +55,8 @@
 // lineCounters are what is counted of a kind of line, beside that it came.
 var lineCounters = map[string]func(*tally, logLine){
 	"probe-sent":       (*tally).probeSent,
-	"attempt-sent":        (*tally).attemptSent,
-	"attempt-ended":       (*tally).attemptEnded,
+	"attempt-sent":     (*tally).attemptSent,
+	"attempt-ended":    (*tally).attemptEnded,
 	"report":           (*tally).report,
 	"listed":           (*tally).listed,
 	"discovery-answer": (*tally).discoveryAnswer,
--- a/internal/lab/soak/world.go
+++ b/internal/lab/soak/world.go
@@ -2,10 +2,7 @@
 
 import (
 	"context"
-	"fmt"
 	"os"
-	"slices"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -40,45 +37,6 @@
 	events   []Event
 }
 
-// Break is a broken rule.
-type Break struct {
-	Rule    string
-	At      time.Duration
-	Node    string
-	Host    string
-	Request string
-	What    string
-}
-
-func (b Break) String() string {
-	return fmt.Sprintf("%8.3f  %s: %s (balancer %s, host %s, request %s)", b.At.Seconds(), b.Rule, b.What, b.Node, b.Host, b.Request)
-}
-
-// Event is one line of the record of a run.
-type Event struct {
-	At      time.Duration // since the start of the run
-	Node    string
-	Host    string
-	Request string
-	What    string
-}
-
-// String is the event as a line of the record.
-func (e Event) String() string {
-	return strings.TrimRight(fmt.Sprintf("%8.3f  %-4s %-6s %s  %s", e.At.Seconds(), e.Node, e.Host, e.What, e.Request), " ")
-}
-
-// Result is what a run has shown.
-type Result struct {
-	Breaks   []Break
-	Requests int
-	Answers  map[string]int // by their first word; "none" where there was none
-	Attempts int
-	Lines    int           // answered on standing connections
-	Late     time.Duration // the longest hold-up of the run's own clock
-	Events   []Event
-}
-
 // runs counts the runs of this program.
 var runs atomic.Int64
 
@@ -181,58 +139,6 @@
 	}
 }
 
-// firstChanges are those from before the first process.
-func (w *world) firstChanges() {
-	for _, c := range w.script.Changes {
-		if c.At <= 0 {
-			w.change(c)
-		}
-	}
-}
-
-// change has discovery know a change of the list. An agent learns nothing in an outage, and all at its end.
-func (w *world) change(c drainsearch.Change) {
-	if f := w.fault(drainsearch.Outage, 0); w.script.Pushed && f != nil {
-		if !w.sleepUntil(start + f.To) {
-			return
-		}
-	}
-	h := w.hosts[c.Host]
-	w.mu.Lock()
-	at := w.now()
-	if c.At <= 0 {
-		at = start + c.At
-	}
-	to := h.listed
-	to.Phase = c.Phase
-	w.mu.Unlock()
-	if c.Phase == drainaudit.InService {
-		to.StartedMS = time.Now().UnixMilli()
-		to.Address = h.restart(c.Moves)
-	}
-	w.mu.Lock()
-	h.listed = to
-	revision := w.list.Change(c.Host, to)
-	w.audit.Changed(at, to.ID, c.Phase)
-	w.note(Event{Host: to.ID, What: fmt.Sprintf("list revision %d: %s", hostlist.FirstRevision+revision, hostlist.PhaseNames[c.Phase])})
-	close(w.news)
-	w.news = make(chan struct{})
-	w.mu.Unlock()
-	if c.Phase == drainaudit.Terminated && !w.script.GoneStaysUp {
-		h.halt()
-	}
-}
-
-// revisionAt is the revision that discovery had at a moment of the script.
-func (w *world) revisionAt(at time.Duration) (revision int) {
-	for _, c := range w.script.Changes {
-		if c.At <= at && revision < w.list.Revision() {
-			revision++
-		}
-	}
-	return revision
-}
-
 // fault is the trouble of a kind that a balancer has now; nil if it has none.
 func (w *world) fault(kind drainsearch.FaultKind, balancer int) *drainsearch.Fault {
 	now := w.now()
@@ -246,36 +152,6 @@
 	return nil
 }
 
-// note adds to the record of the run; the lock is held.
-func (w *world) note(e Event) {
-	e.At = w.now() - start
-	w.events = append(w.events, e)
-}
-
-// broke notes a broken rule; the lock is held.
-func (w *world) broke(b Break) {
-	w.breaks = append(w.breaks, b)
-	w.note(Event{Node: b.Node, Host: b.Host, Request: b.Request, What: "BROKEN " + b.Rule + ": " + b.What})
-}
-
-// result is what the run has shown.
-func (w *world) result() *Result {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	r := &Result{Breaks: w.breaks, Answers: map[string]int{}, Late: w.jitter.worst(0, never), Events: w.events}
-	for _, q := range w.requests {
-		if !q.sent() {
-			continue
-		}
-		r.Requests++
-		r.Answers[q.answerWord()]++
-		r.Attempts += len(q.attempts)
-		r.Lines += q.lines
-	}
-	slices.SortFunc(r.Breaks, func(a, b Break) int { return int(a.At - b.At) })
-	return r
-}
-
 // close ends the processes and the stand-ins.
 func (w *world) close() {
 	w.stop()
