Soak: the run's clock has one origin, set before any of its goroutines reads it

The second assignment is gone; the script's time begins some milliseconds earlier. TestSoak, its planted faults and the reproduction pass under the race detector.

--- a/internal/lab/soak/world.go
+++ b/internal/lab/soak/world.go
@@ -66,7 +66,6 @@
 		}
 		w.nodes = append(w.nodes, n)
 	}
-	w.origin = time.Now()
 	for _, n := range w.nodes {
 		if err := n.launch(script.KnownAge); err != nil {
 			return nil, err
