Tests: the soak's balancers listen apart from those of the socket tests

TestGateBeforeTheFirstLine waited for 'attempts written 0' in vain: the soak (127.101+pid%100.1.n:3000) and the rig of the socket tests (127.100+pid%100.1.n:3000) run in processes with neighbouring ids, so they could listen at one address, share it (SO_REUSEPORT), and a client of the soak have its OPEN served by the rig's node.

--- a/internal/lab/soak/node.go
+++ b/internal/lab/soak/node.go
@@ -47,15 +47,17 @@
 		return nil, err
 	}
 	n.endpoints = []*endpoint{e}
-	n.listen = fmt.Sprintf("127.%d.%d.%d:%d", listenNet+os.Getpid()%100, w.number/200+1, w.number%200+1, listenPort+number)
+	pid := os.Getpid()
+	n.listen = fmt.Sprintf("127.%d.%d.%d:%d", listenNet+pid%100, 1+pid/100%250, 1+w.number%250, listenPort+number)
 	return n, nil
 }
 
 // Where balancers listen: each run has a loopback address of its own, which neither another run nor a port that the system
-// hands out can take.
+// hands out can take. Danger: balancers share a port that is taken, so on port 3000, where the tests of the sockets listen,
+// clients of one would reach the other.
 const (
 	listenNet  = 101
-	listenPort = 3000
+	listenPort = 23000
 )
 
 // current is where discovery serves it now.
