--- a/review/standin/common.go
+++ b/review/standin/common.go
@@ -68,8 +68,10 @@
 	id       string
 	listener net.Listener
 	mu       sync.Mutex
-	hung     bool          // takes connections and lines, and answers none
-	resumed  chan struct{} // closed when it is not hung
+	hung     bool                             // takes connections and lines, and answers none
+	resumed  chan struct{}                    // closed when it is not hung
+	opened   func(id string, first time.Time) // called with each OPEN and when its first byte came
+	conns    map[net.Conn]bool
 	opens    atomic.Int64
 	received func(string)  // called with each line after the first
 	pieces   bool          // it writes its lines in pieces
@@ -81,7 +83,7 @@
 	if err != nil {
 		cannotRun("%v", err)
 	}
-	h := &host{id: id, listener: l, resumed: make(chan struct{})}
+	h := &host{id: id, listener: l, resumed: make(chan struct{}), conns: map[net.Conn]bool{}}
 	close(h.resumed)
 	go func() {
 		for {
@@ -102,6 +104,18 @@
 	rec.add("host %s hangs", h.id)
 }
 
+// stop ends the host as a process that dies: its connections are reset, new ones are refused.
+func (h *host) stop() {
+	_ = h.listener.Close()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for c := range h.conns {
+		_ = c.(*net.TCPConn).SetLinger(0)
+		_ = c.Close()
+	}
+	rec.add("host %s stops", h.id)
+}
+
 func (h *host) wait() {
 	h.mu.Lock()
 	c := h.resumed
@@ -111,7 +125,17 @@
 
 func (h *host) serve(c net.Conn) {
 	defer c.Close()
+	h.mu.Lock()
+	h.conns[c] = true
+	h.mu.Unlock()
+	defer func() {
+		h.mu.Lock()
+		delete(h.conns, c)
+		h.mu.Unlock()
+	}()
 	in := bufio.NewReader(c)
+	_, _ = in.Peek(1)
+	firstByte := time.Now()
 	first, err := in.ReadString('\n')
 	if err != nil {
 		return
@@ -122,6 +146,9 @@
 		return
 	}
 	h.opens.Add(1)
+	if h.opened != nil {
+		h.opened(words[1], firstByte)
+	}
 	rec.add("host %s received: %s", h.id, strings.TrimSpace(first))
 	h.wait()
 	time.Sleep(time.Duration(h.opens.Load()%3) * h.delay / 2)
--- a/review/standin/discovery.go
+++ b/review/standin/discovery.go
@@ -12,13 +12,14 @@
 
 // discovery is a stand-in discovery service.
 type discovery struct {
-	listener net.Listener
-	mu       sync.Mutex
-	revision int64
-	members  []member
-	since    map[string]int64 // revision of each member's last change
-	changed  chan struct{}
-	write    func(c net.Conn, body string) // writes an answer; the default one uses Content-Length
+	listener  net.Listener
+	mu        sync.Mutex
+	revision  int64
+	members   []member
+	since     map[string]int64 // revision of each member's last change
+	changed   chan struct{}
+	onWritten func(revision int64)          // called once an answer is written
+	write     func(c net.Conn, body string) // writes an answer; the default one uses Content-Length
 }
 
 func newDiscovery(m []member) *discovery {
@@ -73,6 +74,9 @@
 		write := d.write
 		d.mu.Unlock()
 		write(c, body)
+		if d.onWritten != nil {
+			d.onWritten(revision)
+		}
 		rec.add("discovery answered %s with revision %d", r.URL.RawQuery, revision)
 	}
 }
