--- a/review/standin/common.go
+++ b/review/standin/common.go
@@ -12,7 +12,6 @@
 	"path/filepath"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -72,10 +71,7 @@
 	resumed  chan struct{}                    // closed when it is not hung
 	opened   func(id string, first time.Time) // called with each OPEN and when its first byte came
 	conns    map[net.Conn]bool
-	opens    atomic.Int64
-	received func(string)  // called with each line after the first
-	pieces   bool          // it writes its lines in pieces
-	delay    time.Duration // of UP
+	received func(string) // called with each line after the first
 }
 
 func newHost(id string) *host {
@@ -145,13 +141,11 @@
 		fmt.Fprint(c, "NO\r\n")
 		return
 	}
-	h.opens.Add(1)
 	if h.opened != nil {
 		h.opened(words[1], firstByte)
 	}
 	rec.add("host %s received: %s", h.id, strings.TrimSpace(first))
 	h.wait()
-	time.Sleep(time.Duration(h.opens.Load()%3) * h.delay / 2)
 	fmt.Fprintf(c, "UP %s-%s\r\n", h.id, words[1])
 	for {
 		text, err := in.ReadString('\n')
@@ -162,19 +156,9 @@
 			h.received(strings.TrimSpace(text))
 		}
 		h.wait()
-		if h.pieces {
-			half := len(text) / 2
-			_, _ = c.Write([]byte(text[:half]))
-			time.Sleep(time.Duration(len(text)%5) * time.Millisecond)
-			text = text[half:]
-		}
 		if _, err := c.Write([]byte(text)); err != nil {
 			return
 		}
-		if h.pieces && strings.HasPrefix(text, "quit") || strings.Contains(text, "QUIT") {
-			fmt.Fprintf(c, "more\r\nBYE\r\n")
-			return
-		}
 	}
 }
 
@@ -319,15 +303,6 @@
 	}
 }
 
-func (b *balancer) alive() bool {
-	select {
-	case <-b.done:
-		return false
-	default:
-		return true
-	}
-}
-
 // awaitHealth waits until the process says yes at its second address.
 func (b *balancer) awaitHealth(limit time.Duration) {
 	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
