Review: a spoilt answer on a standing connection leaves its client hanging

After UP, a line of a desk host that is too long has the balancer reset its connection to the desk host, and the client is told nothing: it stays connected, what it sends is swallowed, and no time limit is left.

--- a/review/standin/common.go
+++ b/review/standin/common.go
@@ -73,6 +73,10 @@
 	draining bool                             // it turns new connections away
 	conns    map[net.Conn]bool
 	received func(string) // called with each line after the first
+	// called when a connection has its UP
+	established func(id string, c net.Conn)
+	answerTime  time.Duration                   // how long it takes to answer a line
+	spoil       func(id string, lines int) bool // whether the answer to OPEN (0 lines) or to the newest line is spoilt
 }
 
 func newHost(id string) *host {
@@ -162,15 +166,28 @@
 		return
 	}
 	fmt.Fprintf(c, "UP %s-%s\r\n", h.id, words[1])
-	for {
+	if h.established != nil {
+		h.established(words[1], c)
+	}
+	if h.spoil != nil && h.spoil(words[1], 0) {
+		h.answerEndlessly(c, words[1], 0)
+		return
+	}
+	for lines := 1; ; lines++ {
 		text, err := in.ReadString('\n')
 		if err != nil {
+			fmt.Fprint(c, "BYE\r\n")
 			return
 		}
 		if h.received != nil {
 			h.received(strings.TrimSpace(text))
 		}
 		h.wait()
+		time.Sleep(h.answerTime)
+		if h.spoil != nil && h.spoil(words[1], lines) {
+			h.answerEndlessly(c, words[1], lines)
+			return
+		}
 		if _, err := c.Write([]byte(text)); err != nil {
 			return
 		}
@@ -273,10 +290,10 @@
 	return ""
 }
 
-// start starts a process of a balancer. Processes of one balancer share listen and shared, its TMPDIR.
-func start(name, listen, discovery, shared, known string, c config) *balancer {
+// start starts a process of a balancer. Processes of one balancer share node, listen and shared, its TMPDIR.
+func start(name, node, listen, discovery, shared, known string, c config) *balancer {
 	b := &balancer{name: name, listen: listen, admin: freeAddress(), done: make(chan struct{})}
-	raw, _ := json.Marshal(map[string]any{"name": "n0", "listen": listen, "discovery": discovery, "admin_addr": b.admin, "seed": "8c1f30d27a5be964",
+	raw, _ := json.Marshal(map[string]any{"name": node, "listen": listen, "discovery": discovery, "admin_addr": b.admin, "seed": "8c1f30d27a5be964",
 		"limits": map[string]any{"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "known": json.RawMessage(known), "settings": c.settings()})
 	path := filepath.Join(temp, name+".json")
 	if err := os.WriteFile(path, raw, 0o600); err != nil {
@@ -288,7 +305,7 @@
 	}
 	b.cmd = exec.Command("/bin/sh", "-c", runCommand())
 	b.cmd.Stdout, b.cmd.Stderr = log, log
-	b.cmd.Env = append(os.Environ(), "EDGE_NAME=n0", "EDGE_LISTEN="+listen, "EDGE_DISCOVERY="+discovery, "EDGE_CONFIG="+path,
+	b.cmd.Env = append(os.Environ(), "EDGE_NAME="+node, "EDGE_LISTEN="+listen, "EDGE_DISCOVERY="+discovery, "EDGE_CONFIG="+path,
 		"EDGE_ADMIN_ADDR="+b.admin, "TMPDIR="+shared, "EDGE_LOG_LEVEL=debug")
 	b.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := b.cmd.Start(); err != nil {
--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -8,16 +8,8 @@
 	"time"
 )
 
-// planNorte has the settings of the deployment plan-norte that the cases need.
-func planNorte() config {
-	return config{tryLimit: 5, mode: "pass", grace: 500 * time.Millisecond, siblings: 3, retryAfter: true, classes: []class{
-		{"plan-diario", 800 * time.Millisecond, 4800 * time.Millisecond, "safe"},
-		{"serie-hecha", 500 * time.Millisecond, 3000 * time.Millisecond, "safe"},
-		{"ajuste-plan", 800 * time.Millisecond, 3200 * time.Millisecond, "safe"},
-		{"informe-alta", 800 * time.Millisecond, 4800 * time.Millisecond, "safe"}}}
-}
-
-// proxyQuiet has those of proxy-quiet (deploy/sites): two attempts, and connections that end at the balancer.
+// proxyQuiet has the settings of the deployment proxy-quiet (deploy/sites) that the cases need: two attempts, no probes, and
+// connections that end at the balancer.
 func proxyQuiet() config {
 	return config{tryLimit: 2, mode: "proxy", grace: 250 * time.Millisecond, siblings: 3, classes: []class{
 		{"ward-note", 800 * time.Millisecond, 4800 * time.Millisecond, "safe"},
@@ -37,7 +29,17 @@
 	started int
 }
 
+// newFleet starts desk hosts, discovery and the first process of a balancer.
 func newFleet(hosts int, cfg config) *fleet {
+	f := newSurroundings(hosts, cfg)
+	f.current = f.start()
+	f.current.awaitHealth(10 * time.Second)
+	f.current.awaitPong(10 * time.Second)
+	return f
+}
+
+// newSurroundings starts desk hosts and discovery.
+func newSurroundings(hosts int, cfg config) *fleet {
 	f := &fleet{listen: freeAddress(), shared: filepath.Join(temp, "shared"), cfg: cfg}
 	for i := range hosts {
 		f.hosts = append(f.hosts, newHost(fmt.Sprintf("s-%02d", i)))
@@ -46,16 +48,13 @@
 	if err := os.Mkdir(f.shared, 0o700); err != nil {
 		cannotRun("%v", err)
 	}
-	f.current = f.start()
-	f.current.awaitHealth(10 * time.Second)
-	f.current.awaitPong(10 * time.Second)
 	return f
 }
 
 // start starts a further process of the balancer: the same addresses, but for the second one, and the same TMPDIR.
 func (f *fleet) start() *balancer {
 	f.started++
-	return start(fmt.Sprintf("process-%d", f.started), f.listen, f.disc.address(), f.shared, listJSON(41, true, members(f.hosts)), f.cfg)
+	return start(fmt.Sprintf("process-%d", f.started), "n0", f.listen, f.disc.address(), f.shared, listJSON(41, true, members(f.hosts)), f.cfg)
 }
 
 // killAfter is when the operators kill the old process: the longest deadline, counted as 3 s where it is longer, and 0.7 s.
