--- a/review/standin/restart_last.go
+++ b/review/standin/restart_last.go
@@ -54,11 +54,11 @@
 // restartLast: clients end their connections, each after a last line, while the balancers are restarted in turn.
 func restartLast() bool {
 	const (
-		connections = 300                   // over all balancers
-		meanLife    = 8 * time.Second       // of a connection
-		answerTime  = 50 * time.Millisecond // of the desk hosts; the strictest class wants a message within 60 ms
-		rounds      = 5                     // in each, all balancers are restarted in turn
-		pause       = 2 * time.Second       // between two restarts
+		connections = 300                     // over all balancers
+		meanLife    = 8 * time.Second         // of a connection
+		answerTime  = 50 * time.Millisecond   // of the desk hosts; the strictest class wants a message within 60 ms
+		rounds      = 9                       // in each, all balancers are restarted in turn
+		pause       = 1500 * time.Millisecond // between two restarts
 	)
 	f := newSurroundings(14, proxyQuiet())
 	for _, h := range f.hosts {
