--- a/review/standin/common.go
+++ b/review/standin/common.go
@@ -69,6 +69,7 @@
 	mu         sync.Mutex
 	hung       bool                            // takes connections and lines, and answers none
 	resumed    chan struct{}                   // closed when it is not hung
+	opened     sync.Map                        // ids of the requests that it has received
 	answerTime time.Duration                   // how long it takes to answer a line
 	spoil      func(id string, lines int) bool // whether the answer to OPEN (0 lines) or to the newest line is spoilt
 }
@@ -118,6 +119,7 @@
 		fmt.Fprint(c, "NO\r\n")
 		return
 	}
+	h.opened.Store(words[1], true)
 	rec.add("host %s received: %s", h.id, strings.TrimSpace(first))
 	h.wait()
 	fmt.Fprintf(c, "UP %s-%s\r\n", h.id, words[1])
--- a/review/standin/restart_last.go
+++ b/review/standin/restart_last.go
@@ -59,6 +59,7 @@
 		answerTime  = 50 * time.Millisecond   // of the desk hosts; the strictest class wants a message within 60 ms
 		rounds      = 9                       // in each, all balancers are restarted in turn
 		pause       = 1500 * time.Millisecond // between two restarts
+		restartTime = time.Second             // about as long as one takes
 	)
 	f := newSurroundings(14, proxyQuiet())
 	for _, h := range f.hosts {
@@ -122,6 +123,10 @@
 		_ = k.conn.SetReadDeadline(time.Now().Add(4 * time.Second))
 		rest, err := io.ReadAll(k.in)
 		rec.add("client %s received %q, then the end (%v)", id, rest, err)
+		if timeout, ok := err.(net.Error); ok && timeout.Timeout() { // neither cut off nor answered: not this rule
+			rec.add("client %s is still connected", id)
+			return
+		}
 		ended.Add(1)
 		switch {
 		case strings.Contains(string(rest), "MOVE"): // told to come again: nothing is owed
@@ -148,6 +153,8 @@
 			time.Sleep(pause)
 			if trouble {
 				f.restart(n)
+			} else {
+				time.Sleep(restartTime)
 			}
 		}
 	}
@@ -157,5 +164,8 @@
 	summary := fmt.Sprintf("connections ended by clients: %d, moved meanwhile: %d, cut off without MOVE and without an answer: %d", ended.Load(), moved.Load(), lost.Load())
 	rec.add("%s", summary)
 	fmt.Println(summary)
+	if ended.Load() < connections {
+		cannotRun("too little was played: %s", summary)
+	}
 	return lost.Load() == 0
 }
