A desk host's endless answer on an established connection moves its client

It got no answer, no MOVE and no end, and what it sent was read and dropped.

Cause: upstream.traffic ended the attempt by u.close alone, which is right before UP only, where the module goes on with the request. After UP nothing was left that ends the client's side: upstream.closed returns for an attempt that has ended, and downstream.relay keeps what the client sends while it has no desk host.

The mend: upstream.cutOff moves the client of an established connection, then resets the desk host's side, and logs the desk host. The drain and the check for silent desk hosts use the same upstream.moveClient.

--- a/internal/net/drain.go
+++ b/internal/net/drain.go
@@ -7,6 +7,7 @@
 	"golang.org/x/sys/unix"
 
 	"tealtiller/internal/line"
+	"tealtiller/policy"
 )
 
 // quietPeriod is how long no OPEN may have arrived before a draining node stops. Clients keep coming for up to 0.4 s
@@ -66,7 +67,7 @@
 	if !n.cfg.Settings.PassThrough {
 		for _, u := range n.upstreams.All() {
 			if u.up {
-				u.moveClient(now)
+				u.moveClient(now, false, policy.Cancelled)
 			}
 		}
 	}
--- a/internal/net/established.go
+++ b/internal/net/established.go
@@ -15,7 +15,7 @@
 	for end < len(buf) {
 		text, err := line.Next(buf[end:])
 		if err != nil || len(text) == 0 {
-			break // if too long, the next call to traffic finds it first
+			break // if too long, traffic cuts the desk host off after the lines before it are forwarded
 		}
 		end += len(text)
 		n.counters.Add("lines from desk hosts")
@@ -74,8 +74,7 @@
 	}
 	u.node.counters.Add("connections moved: silent desk host")
 	u.traceAttempt("moved-silent")
-	u.downstream.sendMove(now)
-	u.close(now, false, policy.Reset)
+	u.moveClient(now, false, policy.Reset)
 }
 
 // lineReceived ends the line timeout and records the delay.
--- a/internal/net/upstream.go
+++ b/internal/net/upstream.go
@@ -74,8 +74,7 @@
 		buf := u.peek()
 		text, err := line.Next(buf)
 		if err != nil {
-			u.node.counters.Add("desk hosts cut off: line too long")
-			u.close(now, true, policy.Reset)
+			u.cutOff(now, err)
 			return
 		}
 		if len(text) == 0 {
@@ -83,7 +82,7 @@
 		}
 		if u.up {
 			u.relay(now, buf)
-			return
+			continue
 		}
 		u.handleAnswer(now, text)
 		if !u.ended {
@@ -92,6 +91,18 @@
 	}
 }
 
+// cutOff resets a connection whose desk host sent invalid data. Before UP the module goes on with the request; an
+// established connection cannot continue, so its client is moved.
+func (u *upstream) cutOff(now time.Duration, reason error) {
+	u.node.counters.Add("desk hosts cut off: line too long")
+	u.node.log.Warn("desk-host-cut-off", "host", u.server, "established", u.up, "reason", reason)
+	if u.up {
+		u.moveClient(now, true, policy.Reset)
+		return
+	}
+	u.close(now, true, policy.Reset)
+}
+
 // handleAnswer handles the answer to OPEN.
 func (u *upstream) handleAnswer(now time.Duration, text []byte) {
 	kind, _ := line.Parse(text)
@@ -114,10 +125,11 @@
 	}
 }
 
-// moveClient moves the client of an established connection to another host.
-func (u *upstream) moveClient(now time.Duration) {
+// moveClient moves the client of an established connection to another host. The desk host's side is reset if it is at
+// fault.
+func (u *upstream) moveClient(now time.Duration, reset bool, result policy.Result) {
 	u.downstream.sendMove(now)
-	u.close(now, false, policy.Cancelled)
+	u.close(now, reset, result)
 }
 
 // sendMove writes MOVE to the client. Only complete lines are ever forwarded, so it cannot split one.
