--- a/internal/net/downstream.go
+++ b/internal/net/downstream.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"fmt"
-	"syscall"
 	"time"
 
 	"github.com/panjf2000/gnet/v2"
@@ -212,39 +211,3 @@
 	}
 	return o.Key
 }
-
-func (d *downstream) detach(reset bool) {
-	switch established := d.upstream != nil && d.upstream.up; {
-	case reset || d.closing:
-	case established:
-		d.halfClosed = newHalfClosed(d.node, d.conn)
-	case d.openReceived:
-		d.writeLine(cancelledLine)
-	}
-	d.conn = nil
-}
-
-func (d *downstream) closed(now time.Duration, reset bool) {
-	defer d.node.downstreams.Remove(d.id) // last: running attempts find it by its number
-	d.node.deadlines.Stop(d.silenceLimit)
-	if !d.openReceived || d.closing {
-		d.halfClosed.close(reset)
-		return
-	}
-	d.closing = true
-	if u := d.upstream; d.halfClosed != nil && u != nil && u.conn != nil && u.conn.OutboundBuffered() == 0 &&
-		syscall.Shutdown(u.conn.Fd(), syscall.SHUT_WR) == nil {
-		d.node.counters.Add("clients that ended their sending")
-		d.node.deadlines.Stop(u.answerCheck)
-		d.node.deadlines.Set(now+lingerTimeout, func(now time.Duration) { u.close(now, false, policy.Cancelled) })
-		return
-	}
-	d.halfClosed.close(reset)
-	if u := d.upstream; u != nil && u.up {
-		d.node.counters.Add("clients gone from standing connections")
-		u.close(now, reset, policy.Cancelled)
-		return
-	}
-	d.node.counters.Add("clients gone before their answer")
-	d.node.table.ClientLeft(now, d.request)
-}
--- a/internal/net/upstream.go
+++ b/internal/net/upstream.go
@@ -132,12 +132,6 @@
 	u.close(now, reset, result)
 }
 
-// sendMove writes MOVE to the client. Only complete lines are ever forwarded, so it cannot split one.
-func (d *downstream) sendMove(now time.Duration) {
-	d.node.counters.Add("clients moved")
-	d.sendLastLine(now, "MOVE\r\n")
-}
-
 // abort closes the socket without reporting an outcome.
 func (u *upstream) abort(reset bool) {
 	u.ended = true
