A planned restart leaves clients that have ended their sending to their last lines

Cause: gnet closes a connection whose peer has ended its sending, and the client's socket lives on as a duplicate, downstream.halfClosed. drainFinished moved all established connections, these too. Their sendMove wrote to downstream.conn, which is nil by then, so to nothing, and upstream.close closed the duplicate.

The scenarios drain-client-ended and drain-client-ended-late fail without the mend: moved at once, and the end in place of MOVE.

The mend: a drain leaves such clients alone until the drain deadline and waits for them (a second after the client's end at most, as before); at the deadline sendMove writes to the duplicate. The process that hands over to a new version waits for them as well: until now only as long as the request was in the table, which the module may remove by a move. upgrade-client-ended guards that wait and passed before too.

--- a/internal/net/clientend.go
+++ b/internal/net/clientend.go
@@ -10,12 +10,23 @@
 // This file holds how the client's side of a request ends: closed or reset by the client, moved, or with its sending
 // ended only, in which case its desk host may still have lines for it.
 
-// sendMove writes MOVE to the client. Only complete lines are ever forwarded, so it cannot split one.
+// moveLine asks a client to reconnect. Only complete lines are ever forwarded, so it cannot split one.
+const moveLine = "MOVE\r\n"
+
+// sendMove tells the client to reconnect, and closes its side.
 func (d *downstream) sendMove(now time.Duration) {
 	d.node.counters.Add("clients moved")
-	d.sendLastLine(now, "MOVE\r\n")
+	if d.halfClosed != nil {
+		_ = d.halfClosed.write([]byte(moveLine))
+		d.halfClosed.close(false) // even if the desk host's side is reset: a reset could destroy the line
+		return
+	}
+	d.sendLastLine(now, moveLine)
 }
 
+// awaitsLastLines reports whether the client has ended its sending, and only waits for the desk host's last lines.
+func (d *downstream) awaitsLastLines() bool { return d.halfClosed != nil }
+
 func (d *downstream) detach(reset bool) {
 	switch established := d.upstream != nil && d.upstream.up; {
 	case reset || d.closing:
--- a/internal/net/drain.go
+++ b/internal/net/drain.go
@@ -53,9 +53,9 @@
 	n.deadlines.Set(now+drainCheckInterval, func(now time.Duration) { n.checkDrain(now, latest) })
 }
 
-// drainFinished reports whether all requests are answered and no more clients come. Where connections end with the
-// process, clients of established connections are moved, including those established during the drain, and the drain
-// ends by the drain deadline.
+// drainFinished reports whether all requests are answered, all clients that ended their sending have their last lines,
+// and no more clients come. Where connections end with the process, clients of established connections are moved,
+// including those established during the drain, and the drain ends by the drain deadline.
 //
 // Where packets pass through, connections would break with this process and their clients would reconnect, so they are
 // relayed as long as the process runs. Whoever stops the process for good first routes its packets to another
@@ -65,11 +65,7 @@
 		return n.handOverAll(now)
 	}
 	if !n.cfg.Settings.PassThrough {
-		for _, u := range n.upstreams.All() {
-			if u.up {
-				u.moveClient(now, false, policy.Cancelled)
-			}
-		}
+		n.moveEstablished(now, now >= latest)
 	}
 	if now >= latest && !(n.cfg.Settings.PassThrough && n.drainDeadlinePassed) { // only once with pass-through: see pastDrainDeadline
 		n.drainDeadlinePassed = true
@@ -78,7 +74,7 @@
 			n.dismissIdle(now)
 		}
 	}
-	answered := n.table.Unanswered() == 0 && now-n.lastOpenAt >= quietPeriod && !n.hasPartialCommand()
+	answered := n.table.Unanswered() == 0 && !n.awaitsLastLines() && now-n.lastOpenAt >= quietPeriod && !n.hasPartialCommand()
 	if done := n.cfg.Settings.PassThrough && answered && n.table.Len() == 0 ||
 		!n.cfg.Settings.PassThrough && (answered || now >= latest); !done {
 		n.resumeHandshakes()
@@ -87,6 +83,27 @@
 	return n.closeRemaining(now, latest)
 }
 
+// moveEstablished moves the clients of all established connections. A client that has ended its sending is left to the
+// last lines of its desk host, unless the drain deadline has passed.
+func (n *Node) moveEstablished(now time.Duration, deadlinePassed bool) {
+	for _, u := range n.upstreams.All() {
+		if u.up && (deadlinePassed || !u.downstream.awaitsLastLines()) {
+			u.moveClient(now, false, policy.Cancelled)
+		}
+	}
+}
+
+// awaitsLastLines reports whether any client has ended its sending and waits for its desk host's last lines. It may have
+// no entry among the requests any more, if the module has moved it meanwhile.
+func (n *Node) awaitsLastLines() bool {
+	for _, u := range n.upstreams.All() {
+		if u.up && u.downstream.awaitsLastLines() {
+			return true
+		}
+	}
+	return false
+}
+
 // pastDrainDeadline reports whether a request comes too late to be started. Where packets pass through, a drain
 // continues after its deadline but may be killed at any moment, and requests accepted then would be lost. Requests of
 // open connections are still relayed.
--- a/internal/net/inherit.go
+++ b/internal/net/inherit.go
@@ -104,7 +104,7 @@
 			n.grantDescriptors(n.cfg.MaxSockets - needs)
 		}
 	}
-	if n.downstreams.Len() > 0 || n.table.Len() > 0 {
+	if n.downstreams.Len() > 0 || n.table.Len() > 0 || n.awaitsLastLines() {
 		return false
 	}
 	// Handshakes in progress are still accepted; a client that repeats its SYN reaches the other process.
