A client that ended its sending and is not answered is told to move

What callers saw: a client that had ended its sending after its last line, at a desk host that answers nothing, got the bare end of its connection after a second, as if it had been answered; the same at once if the answer never ended.

Only upstream.moveClient tells it.

Evidence: the scenario client-ends-unanswered fails without the mend at its first MOVE (the end after 1.00 s).

The mend: the second ends in moveClient, which does nothing for a connection that has ended meanwhile. How long a desk host has for its last lines is unchanged.

--- a/internal/net/clientend.go
+++ b/internal/net/clientend.go
@@ -50,7 +50,7 @@
 		syscall.Shutdown(u.conn.Fd(), syscall.SHUT_WR) == nil {
 		d.node.counters.Add("clients that ended their sending")
 		d.node.deadlines.Stop(u.answerCheck)
-		d.node.deadlines.Set(now+lingerTimeout, func(now time.Duration) { u.close(now, false, policy.Cancelled) })
+		d.node.deadlines.Set(now+lingerTimeout, func(now time.Duration) { u.moveClient(now, false, policy.Cancelled) })
 		return
 	}
 	d.halfClosed.close(reset)
--- a/internal/net/upstream.go
+++ b/internal/net/upstream.go
@@ -125,9 +125,12 @@
 	}
 }
 
-// moveClient moves the client of an established connection to another host. The desk host's side is reset if it is at
-// fault.
+// moveClient moves the client of an established connection to another host, unless the connection has ended. The desk
+// host's side is reset if it is at fault.
 func (u *upstream) moveClient(now time.Duration, reset bool, result policy.Result) {
+	if u.ended {
+		return
+	}
 	u.downstream.sendMove(now)
 	u.close(now, reset, result)
 }
