A client's last lines reach its desk host though it ends its sending behind them

What callers saw: a client that sent lines faster than its desk host read them, and then ended its sending to wait for the answers, was cut off; the desk host did not get the lines that were still buffered for it.

Cause: downstream.closed passed the end on only if nothing was buffered at that moment. Otherwise it closed both sides, and gnet makes one attempt to write what is left.

Evidence: TestClientEndsBehindBufferedOutput fills the socket to a desk host that does not read.

A desk host that has not read everything within the time that an answer may take (lineTimeout) loses the client, which is told MOVE.

--- a/internal/net/clientend.go
+++ b/internal/net/clientend.go
@@ -46,19 +46,32 @@
 		return
 	}
 	d.closing = true
-	if u := d.upstream; d.halfClosed != nil && u != nil && u.conn != nil && u.conn.OutboundBuffered() == 0 &&
-		syscall.Shutdown(u.conn.Fd(), syscall.SHUT_WR) == nil {
+	switch u := d.upstream; {
+	case u == nil || !u.up:
+		d.node.counters.Add("clients gone before their answer")
+		d.node.table.ClientLeft(now, d.request)
+	case d.awaitsLastLines() && u.conn != nil:
 		d.node.counters.Add("clients that ended their sending")
 		d.node.deadlines.Stop(u.answerCheck)
-		d.node.deadlines.Set(now+lingerTimeout, func(now time.Duration) { u.moveClient(now, false, policy.Cancelled) })
-		return
-	}
-	d.halfClosed.close(reset)
-	if u := d.upstream; u != nil && u.up {
+		u.endSendingWhenFlushed(now, now+d.node.lineTimeout)
+	default:
 		d.node.counters.Add("clients gone from standing connections")
 		u.close(now, reset, policy.Cancelled)
-		return
 	}
-	d.node.counters.Add("clients gone before their answer")
-	d.node.table.ClientLeft(now, d.request)
+}
+
+// endSendingWhenFlushed passes the end of the client's sending on to the desk host once all that is buffered for it is
+// written, and gives it lingerTimeout for its last lines. The client is moved if the desk host has not read everything by
+// latest, or is silent.
+func (u *upstream) endSendingWhenFlushed(now, latest time.Duration) {
+	switch {
+	case u.ended || u.conn == nil:
+	case u.conn.OutboundBuffered() == 0:
+		_ = syscall.Shutdown(u.conn.Fd(), syscall.SHUT_WR) // fails only if the loop is about to report the connection's end
+		u.node.deadlines.Set(now+lingerTimeout, func(now time.Duration) { u.moveClient(now, false, policy.Cancelled) })
+	case now >= latest:
+		u.moveClient(now, false, policy.Cancelled)
+	default:
+		u.node.deadlines.Set(now+flushCheckInterval, func(now time.Duration) { u.endSendingWhenFlushed(now, latest) })
+	}
 }
--- /dev/null
+++ b/internal/net/clientend_test.go
@@ -0,0 +1,32 @@
+package net
+
+import (
+	"bytes"
+	"io"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// A client ended its sending while its desk host had not read all its lines yet: the rest of the lines was dropped, and the
+// client cut off. The desk host gets all lines and then the end, and its answer reaches the client.
+func TestClientEndsBehindBufferedOutput(t *testing.T) {
+	r := newRig(t)
+	r.steps("a connect", "a send OPEN 1 a c=lookup,d=4000", "d accept", "d expect OPEN *", "d send UP r1", "a expect UP r1")
+	line := append(bytes.Repeat([]byte("x"), 4000), "\r\n"...)
+	written := 0
+	r.onLoop(func(time.Duration) {
+		for _, u := range r.node.upstreams.All() {
+			for ; u.conn.OutboundBuffered() == 0; written += len(line) {
+				r.node.write(u.conn, line)
+			}
+		}
+	})
+	r.steps("a half", "wait count clients that ended their sending 1")
+	got, err := io.ReadAll(r.peers["d"].r)
+	require.NoError(t, err)
+	assert.Equal(t, written, len(got))
+	r.steps("d send BYE", "d close", "a expect BYE", "a wait fin")
+}
