A client that ends its sending while no descriptor is left is told to move

What callers saw: a client ends its sending and waits for the answer to its last line; without a descriptor for the duplicate of its socket it got the bare end of its connection while its desk host still answered.

Cause: downstream.detach ignored that newHalfClosed had failed, and downstream.closed then ended both sides without a word.

Evidence: TestClientEndsWithoutDescriptor (a connection whose Dup gives EMFILE) fails without the mend (EOF in place of MOVE) and passed 10 of 10 with it. No real process was brought to that limit.

The mend: detach writes MOVE while the socket is still open.

--- a/internal/net/clientend.go
+++ b/internal/net/clientend.go
@@ -31,7 +31,10 @@
 	switch established := d.upstream != nil && d.upstream.up; {
 	case reset || d.closing:
 	case established:
-		d.halfClosed = newHalfClosed(d.node, d.conn)
+		if d.halfClosed = newHalfClosed(d.node, d.conn); d.halfClosed == nil { // no descriptor: its last lines cannot reach it
+			d.node.counters.Add("clients moved")
+			d.writeLine(moveLine)
+		}
 	case d.openReceived:
 		d.writeLine(cancelledLine)
 	}
--- a/internal/net/clientend_test.go
+++ b/internal/net/clientend_test.go
@@ -3,9 +3,11 @@
 import (
 	"bytes"
 	"io"
+	"syscall"
 	"testing"
 	"time"
 
+	"github.com/panjf2000/gnet/v2"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 )
@@ -30,3 +32,20 @@
 	assert.Equal(t, written, len(got))
 	r.steps("d send BYE", "d close", "a expect BYE", "a wait fin")
 }
+
+// withoutDup is a connection whose descriptor cannot be duplicated.
+type withoutDup struct{ gnet.Conn }
+
+func (withoutDup) Dup() (int, error) { return -1, syscall.EMFILE }
+
+// A client ended its sending while no descriptor was left to keep its side open, and was cut off without MOVE.
+func TestClientEndsWithoutDescriptor(t *testing.T) {
+	r := newRig(t)
+	r.steps("a connect", "a send OPEN 1 a c=lookup,d=4000", "d accept", "d expect OPEN *", "d send UP r1", "a expect UP r1")
+	r.onLoop(func(time.Duration) {
+		for _, d := range r.node.downstreams.All() {
+			d.conn = withoutDup{d.conn}
+		}
+	})
+	r.steps("a half", "a expect MOVE", "a wait fin", "d wait fin")
+}
