A client moved while its connection is taken over gets its MOVE

A client whose connection a new process takes over, and that is moved (by the module, or by a SIGTERM to the new process) before its socket is on the event loop, stays connected to nothing: no MOVE, no end, and what it sends is read and dropped.

Cause: sendMove wrote to downstream.conn, which is nil until gnet has the socket, and closeSending set closing but had no socket to close. downstream.opened then kept the socket without a look at closing.

The order is forced in the test; it was not seen between processes.

The mend: a downstream that is being enrolled keeps its last line, and opened writes it and ends the connection.

--- a/internal/net/closing.go
+++ b/internal/net/closing.go
@@ -73,6 +73,9 @@
 
 // sendLastLine writes the last line and closes the connection.
 func (d *downstream) sendLastLine(now time.Duration, text string) {
+	if d.enrolling {
+		d.lastLine = text
+	}
 	d.writeLine(text)
 	d.closeSending(now)
 }
--- a/internal/net/downstream.go
+++ b/internal/net/downstream.go
@@ -22,6 +22,8 @@
 	opening      line.OpenRequest
 	openReceived bool // OPEN was received: the lines after it wait for UP
 	upstream     *upstream
+	enrolling    bool          // inherited, and its socket is not on the loop yet
+	lastLine     string        // last line to write once the socket is on the loop
 	closing      bool          // the last line was written; further input is discarded
 	lingering    bool          // sending has ended; waiting for the client to close
 	halfClosed   *halfClosed   // set when the client has ended its sending only
@@ -40,7 +42,8 @@
 	d.node.counters.Add("client connections accepted")
 	d.conn = c
 	_ = c.SetNoDelay(true) // a last line delayed by Nagle's algorithm could be lost with the connection
-	if d.openReceived {    // inherited: its upstream socket follows
+	if d.enrolling {       // its upstream socket follows
+		d.enrolled(now)
 		return gnet.None
 	}
 	d.silentSince = now - d.silentBefore
--- a/internal/net/inherit.go
+++ b/internal/net/inherit.go
@@ -28,7 +28,7 @@
 	}
 	n.counters.Add("operations taken over")
 	d := newDownstream(n)
-	d.opening, d.openReceived, d.pending = o, true, m.FromClient
+	d.opening, d.openReceived, d.pending, d.enrolling = o, true, m.FromClient, true
 	u := &upstream{node: n, downstream: d, server: m.Server, endResult: policy.Reset, cancel: func() {}, sent: true, up: true, upAt: now}
 	u.pending = m.FromHost
 	u.id = n.upstreams.Add(u)
@@ -38,6 +38,16 @@
 	return []socket{d, u}
 }
 
+// enrolled ends the connection if that was decided before its socket was on the loop.
+func (d *downstream) enrolled(now time.Duration) {
+	d.enrolling = false
+	if !d.closing {
+		return
+	}
+	d.writeLine(d.lastLine)
+	d.closeSending(now)
+}
+
 // passOn passes a client's socket on to the leading process, together with the upstream socket if the connection is
 // established. Connections with an unanswered request or with unwritten output stay for now. No outcome is reported
 // for the upstream socket, since the connection continues in the other process.
--- a/internal/net/inherit_test.go
+++ b/internal/net/inherit_test.go
@@ -38,3 +38,38 @@
 		require.NoError(t, r.step(step), step)
 	}
 }
+
+// inheritConnection has the rig's node take over an established connection between the peers a and d, whose sockets are
+// not on the loop yet.
+func (r *rig) inheritConnection() (sockets []socket, conns []stdnet.Conn) {
+	r.t.Helper()
+	r.steps("first connect")
+	listener, err := stdnet.Listen("tcp", "127.0.0.1:0")
+	require.NoError(r.t, err)
+	defer listener.Close()
+	r.address = listener.Addr().String()
+	for _, step := range []string{"a connect", "d connect"} {
+		r.steps(step)
+		c, err := listener.Accept()
+		require.NoError(r.t, err)
+		conns = append(conns, c)
+	}
+	r.onLoop(func(now time.Duration) {
+		m := handover.Message{Kind: handover.KindEstablished, Server: "s-0", OpenLine: []byte("OPEN 1 a c=lookup,d=4000\r\n")}
+		sockets = r.node.inheritEstablished(now, m)
+		r.node.dialling += len(sockets)
+	})
+	return sockets, conns
+}
+
+// A client was told to move before its socket, taken over from another process, was on the loop: the line was lost, and
+// the client left connected to nothing.
+func TestMoveBeforeInheritedSocketIsEnrolled(t *testing.T) {
+	r := newRig(t)
+	sockets, conns := r.inheritConnection()
+	r.onLoop(func(time.Duration) { requestIO{r.node}.Move(sockets[0].(*downstream).id) })
+	for i, s := range sockets {
+		require.NoError(t, r.node.enroll(s, conns[i]))
+	}
+	r.steps("a expect MOVE", "a wait fin", "d wait fin")
+}
