A client whose connection cannot be taken over for want of a descriptor gets MOVE

Where the new process cannot bring the desk host's socket of an established connection on its loop, its client got the bare end while the desk host still answered.

Cause: upstream.failedLocally treated it as an end by the desk host (upstream.closed), and counted a reset against that host.

No real process was brought to that limit.

The mend: failedLocally moves the client, as cancelled.

--- a/internal/net/dialfailure.go
+++ b/internal/net/dialfailure.go
@@ -56,10 +56,11 @@
 	}
 }
 
-// failedLocally ends the attempt as not sent, which does not count against the desk host.
+// failedLocally ends the attempt as not sent, or moves the client of an established connection; neither counts against the
+// desk host.
 func (u *upstream) failedLocally(now time.Duration) {
 	if u.up { // established in another process, and could not be taken over
-		u.closed(now, false)
+		u.moveClient(now, false, policy.Cancelled)
 		return
 	}
 	u.close(now, false, policy.NotSent)
--- a/internal/net/inherit_test.go
+++ b/internal/net/inherit_test.go
@@ -2,6 +2,7 @@
 
 import (
 	stdnet "net"
+	"syscall"
 	"testing"
 	"time"
 
@@ -73,3 +74,14 @@
 	}
 	r.steps("a expect MOVE", "a wait fin", "d wait fin")
 }
+
+// The socket to the desk host of a connection taken over from another process cannot be brought on the loop for want of a
+// descriptor: the client was cut off without MOVE.
+func TestInheritedHostSocketCannotBeEnrolled(t *testing.T) {
+	r := newRig(t)
+	sockets, conns := r.inheritConnection()
+	require.NoError(t, r.node.enroll(sockets[0], conns[0]))
+	require.NoError(t, conns[1].Close())
+	r.node.dialFailed(sockets[1], syscall.EMFILE)
+	r.steps("a expect MOVE", "a wait fin")
+}
