Soak: a host gives the answer of its own attempt, without a data race

Beside the race the host then gave the answer scripted for a later attempt.

The mend: an attempt keeps its index, set under the lock.

--- a/internal/lab/soak/host_answers.go
+++ b/internal/lab/soak/host_answers.go
@@ -47,7 +47,7 @@
 	w.mu.Lock()
 	drains := h.listed.Phase != drainaudit.InService
 	w.mu.Unlock()
-	switch scripted := a.request.nextAnswer(len(a.request.attempts) - 1); {
+	switch scripted := a.scriptedAnswer(); {
 	case h.hasFault(HostHangs) || scripted == drainsearch.AnswerNone:
 		h.awaitEnd(r, a)
 	case drains || scripted == drainsearch.AnswerBusy:
--- a/internal/lab/soak/requests.go
+++ b/internal/lab/soak/requests.go
@@ -29,6 +29,7 @@
 // attempt is one attempt of a request at a host.
 type attempt struct {
 	request   *requestRecord
+	index     int // among the attempts of its request
 	host      *host
 	conn      net.Conn
 	beganAt   time.Duration // when its first byte was read
@@ -58,10 +59,10 @@
 	return word
 }
 
-// nextAnswer returns the scripted answer of a host to the attempt of a number.
-func (q *requestRecord) nextAnswer(number int) drainsearch.Answer {
-	if number < len(q.script.Answers) {
-		return q.script.Answers[number]
+// scriptedAnswer returns the host's answer to the attempt.
+func (a *attempt) scriptedAnswer() drainsearch.Answer {
+	if a.index < len(a.request.script.Answers) {
+		return a.request.script.Answers[a.index]
 	}
 	return drainsearch.AnswerUp
 }
@@ -88,8 +89,8 @@
 		w.recordViolation(Violation{Rule: "malformed", At: at - start, Host: h.listed.ID, Request: id, What: "an attempt for a request that nobody sent"})
 		return nil
 	}
-	a := &attempt{request: q, host: h, conn: c, beganAt: at, endedAt: never}
-	a.receipt = fmt.Sprintf("%s.%d", id, len(q.attempts))
+	a := &attempt{request: q, index: len(q.attempts), host: h, conn: c, beganAt: at, endedAt: never}
+	a.receipt = fmt.Sprintf("%s.%d", id, a.index)
 	q.attempts = append(q.attempts, a)
 	w.recordEvent(Event{Node: q.node.name, Host: h.listed.ID, Request: id, What: fmt.Sprintf("attempt %d", len(q.attempts))})
 	w.judgeFirstByte(a)
