The client of a desk host that stops reading is told to move

What callers saw: a client that sends more than its desk host reads, until too much is buffered for that host, got the bare end of its connection.

Cause: Node.write resets the connection whose buffer is too large.

The mend: downstream.relay asks Node.overflows and moves the client. What it sent last is lost with the desk host's connection, as before; flow control is not part of this.

--- a/internal/net/clientend_test.go
+++ b/internal/net/clientend_test.go
@@ -49,3 +49,21 @@
 	})
 	r.steps("a half", "a expect MOVE", "a wait fin", "d wait fin")
 }
+
+// A desk host stopped reading while its client went on sending, and the client was cut off without MOVE.
+func TestClientOfAHostThatDoesNotReadIsMoved(t *testing.T) {
+	r := newRig(t)
+	r.steps("a connect", "a send OPEN 1 a c=lookup,d=4000", "d accept", "d expect OPEN *", "d send UP r1", "a expect UP r1")
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		line := append(bytes.Repeat([]byte("x"), 4000), "\r\n"...)
+		for _, err := r.peers["a"].Write(line); err == nil; {
+			_, err = r.peers["a"].Write(line)
+		}
+	}()
+	r.steps("a expect MOVE")
+	require.NoError(t, r.peers["a"].CloseWrite())
+	<-stopped
+	r.steps("a wait fin", "wait count sockets ended: peer does not read 1")
+}
--- a/internal/net/descriptors.go
+++ b/internal/net/descriptors.go
@@ -117,14 +117,19 @@
 
 // write sends data on a connection. A connection whose peer does not read is reset.
 func (n *Node) write(c gnet.Conn, data []byte) {
-	if c == nil {
-		return
+	if c != nil && n.overflows(c, data) {
+		n.closeConn(c, true)
 	}
+}
+
+// overflows sends data on a connection, and reports whether too much is buffered now, as its peer does not read.
+func (n *Node) overflows(c gnet.Conn, data []byte) bool {
 	if _, err := c.Write(data); err != nil {
-		return // gnet closes the connection and calls OnClose
+		return false // gnet closes the connection and calls OnClose
 	}
-	if c.OutboundBuffered() > n.maxBuffered() {
-		n.counters.Add("sockets ended: peer does not read")
-		n.closeConn(c, true)
+	if c.OutboundBuffered() <= n.maxBuffered() {
+		return false
 	}
+	n.counters.Add("sockets ended: peer does not read")
+	return true
 }
--- a/internal/net/relay.go
+++ b/internal/net/relay.go
@@ -40,7 +40,9 @@
 		return
 	}
 	u.lineForwarded(now)
-	d.node.write(u.conn, buf[:end])
+	if d.node.overflows(u.conn, buf[:end]) {
+		u.moveClient(now, true, policy.Reset)
+	}
 	if d.conn != nil {
 		d.discard(end)
 	}
