--- a/cmd/lab/soak.go
+++ b/cmd/lab/soak.go
@@ -17,7 +17,7 @@
 type soakCommand struct {
 	Seeds  int    `default:"1" help:"Number of runs, one for each seed from --seed on."`
 	At     int    `default:"4" help:"Number of runs at a time."`
-	Kind   string `enum:"mixed,crossings" default:"mixed" help:"Kind of the scripts that are drawn: ${enum}; crossings lets events coincide that rarely do."`
+	Kind   string `enum:"mixed,crossings,endings" default:"mixed" help:"Kind of the scripts that are drawn: ${enum}; crossings lets events coincide that rarely do, endings ends established connections in many ways."`
 	Script string `type:"existingfile" help:"Play this script, as written to --folder, instead of drawn ones; --seeds is the number of times."`
 	Folder string `type:"path" help:"Folder for the script, the logs and the record of each run that broke a rule."`
 	Plant  string `enum:",longer_grace,late_calls,more_attempts,longer_window,early_kill,safe_classes" default:"" help:"Plant a fault that the check of the rules must find: one of ${enum}."`
@@ -103,6 +103,8 @@
 	case c.Script != "":
 	case c.Kind == "crossings":
 		return soak.DrawCrossings(seed), nil
+	case c.Kind == "endings":
+		return soak.DrawEndings(seed), nil
 	default:
 		return soak.Draw(seed), nil
 	}
--- a/cmd/tealtiller/soak_test.go
+++ b/cmd/tealtiller/soak_test.go
@@ -102,6 +102,22 @@
 	}
 }
 
+// Runs in which established connections end in many ways: clients that end their sending and wait for the answer to their
+// last line, many of them at a planned restart, were cut off; hosts' answers that never end left clients connected to
+// nothing.
+func TestSoakEndings(t *testing.T) {
+	for _, seed := range []uint64{500, 501} {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			result := playOnProcesses(t, soak.DrawEndings(seed))
+			for _, b := range result.Violations {
+				t.Error(b)
+			}
+			assert.Greater(t, result.Lines, 1000, "lines answered on established connections")
+		})
+	}
+}
+
 // The checker finds each planted fault in a single run.
 func TestSoakFindsPlantedFaults(t *testing.T) {
 	for _, plant := range []soak.PlantedFault{soak.LongerGrace, soak.EarlyKill, soak.MoreAttempts, soak.SafeClasses, soak.LongerWindow} {
--- a/internal/lab/soak/client.go
+++ b/internal/lab/soak/client.go
@@ -135,8 +135,12 @@
 // useConnection sends lines on an established connection until it ends, whatever happens to the balancer.
 func (w *world) useConnection(c net.Conn, r *bufio.Reader, q *requestRecord) {
 	for i := 0; w.ctx.Err() == nil; i++ {
-		_ = c.SetReadDeadline(time.Now().Add(lineInterval))
+		_ = c.SetReadDeadline(time.Now().Add(q.timeToNextLine(w.now())))
 		line, err := r.ReadString('\n')
+		if timedOut(err) && q.endsSending(w.now()) {
+			w.sendLastLine(c, r, q, i)
+			return
+		}
 		if timedOut(err) {
 			line, err = w.sendLine(c, r, q, i)
 		}
--- a/internal/lab/soak/host_answers.go
+++ b/internal/lab/soak/host_answers.go
@@ -50,6 +50,8 @@
 	switch scripted := a.scriptedAnswer(); {
 	case h.hasFault(HostHangs) || scripted == drainsearch.AnswerNone:
 		h.awaitEnd(r, a)
+	case h.hasFault(HostEndlessAnswers) && a.request.script.Key%2 == 0:
+		h.answerEndlessly(c, r, a)
 	case drains || scripted == drainsearch.AnswerBusy:
 		h.sendFinal(c, r, a, "BUSY", resultNotExecuted)
 	case scripted == drainsearch.AnswerErr:
@@ -126,6 +128,10 @@
 		return
 	}
 	for {
+		if h.hasFault(HostEndlessAnswers) {
+			h.answerEndlessly(c, r, a)
+			return
+		}
 		line, err := r.ReadString('\n')
 		if err != nil {
 			h.world.attemptEnded(a, resultMaybeExecuted)
@@ -139,6 +145,9 @@
 			h.awaitEnd(r, a)
 			return
 		}
+		if h.hasFault(HostLateLines) {
+			h.world.sleep(lineDelay)
+		}
 		if h.write(c, "OK "+line) != nil {
 			h.world.attemptEnded(a, resultMaybeExecuted)
 			return
@@ -146,6 +155,24 @@
 	}
 }
 
+// The faults of answers on established connections.
+const (
+	lineDelay       = 150 * time.Millisecond // by how much HostLateLines delays each answer to a line
+	endlessInterval = 20 * time.Millisecond  // between two pieces of an answer that never ends
+	endlessPiece    = 512                    // bytes of such a piece
+)
+
+// answerEndlessly writes bytes without a line end until the balancer ends the connection.
+func (h *host) answerEndlessly(c net.Conn, r *bufio.Reader, a *attempt) {
+	h.world.group.Go(func() { h.awaitEnd(r, a) }) // notices the end at once
+	piece := strings.Repeat("x", endlessPiece)
+	for h.world.sleep(endlessInterval) {
+		if _, err := io.WriteString(c, piece); err != nil {
+			return
+		}
+	}
+}
+
 // markHung records that the host no longer answers on an established connection.
 func (h *host) markHung(a *attempt) {
 	h.world.mu.Lock()
--- a/internal/lab/soak/requests.go
+++ b/internal/lab/soak/requests.go
@@ -24,6 +24,8 @@
 	excuse       string // why a missing answer breaks no rule; empty if it does
 	lines        int
 	attempts     []*attempt
+	// sendingEndsAt is when its client ends its sending; 0 if it does not.
+	sendingEndsAt time.Duration
 }
 
 // attempt is one attempt of a request at a host.
--- a/internal/lab/soak/script.go
+++ b/internal/lab/soak/script.go
@@ -27,6 +27,8 @@
 	Floods       []ConnectionFlood `json:"Crowds"`
 	IdleClients  []IdleClient      `json:"Resting"`
 	Pauses       []Pause
+	// EndingClients end their sending only; runs of endings alone have them.
+	EndingClients []EndingClient `json:",omitempty"`
 	// GoneStaysUp lets hosts that were removed from the list still accept connections, so that a request to one is
 	// seen.
 	GoneStaysUp bool
@@ -53,6 +55,10 @@
 	// HostNotAccepting makes the host accept no connections, so that one that is requested meanwhile comes up a second
 	// later. Only runs of crossings have it.
 	HostNotAccepting
+
+	// Only runs of endings have these.
+	HostEndlessAnswers // each answer, to an opening or to a line, is one that never ends
+	HostLateLines      // each answer to a line is late by lineDelay
 )
 
 // HostFault is a fault at one host.
@@ -76,6 +82,13 @@
 	RequestAfter time.Duration `json:"Asks"` // when it sends its request, counted from At
 }
 
+// EndingClient is a client that ends its sending after a last line, and waits for the answer to it.
+type EndingClient struct {
+	Balancer int
+	At       time.Duration // when it connects
+	EndAfter time.Duration // when it ends its sending, counted from At
+}
+
 // Pause stops a process and continues it (SIGSTOP, SIGCONT).
 type Pause struct {
 	At       time.Duration
@@ -185,6 +198,9 @@
 	for _, r := range s.IdleClients {
 		all = append(all, r.Balancer)
 	}
+	for _, c := range s.EndingClients {
+		all = append(all, c.Balancer)
+	}
 	for _, p := range s.Pauses {
 		all = append(all, p.Balancer)
 	}
--- a/internal/lab/soak/world.go
+++ b/internal/lab/soak/world.go
@@ -120,6 +120,9 @@
 	for i, r := range s.IdleClients {
 		w.at(r.At, func() { w.runIdleClient(i, r) })
 	}
+	for i, c := range s.EndingClients {
+		w.at(c.At, func() { w.runEndingClient(i, c) })
+	}
 }
 
 // at runs an action at a time of the script, unless the run has ended by then.
