--- a/review/peers/client.go
+++ b/review/peers/client.go
@@ -32,7 +32,7 @@
 
 func config(d *discovery, set map[string]any) map[string]any {
 	return map[string]any{"discovery": d.addr, "seed": fmt.Sprintf("%016x", rand.Uint64()),
-		"limits": map[string]any{"cores": 1.0, "memory_mb": 192, "sockets": 4096}, "known": d.d.since(-1), "settings": set}
+		"limits": map[string]any{"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "known": d.d.since(-1), "settings": set}
 }
 
 func newID() string { return fmt.Sprintf("%016x", rand.Uint64()) }
@@ -45,6 +45,10 @@
 	sentAt time.Time
 }
 
+func newConnection(c net.Conn, id string) *connection {
+	return &connection{id: id, c: c, r: bufio.NewReaderSize(c, 8192), sentAt: time.Now()}
+}
+
 func openLine(id, key, extra string, d time.Duration) string {
 	return fmt.Sprintf("OPEN %s %s c=lookup,t=acme,d=%d,g=%s%s\r\n", id, key, d.Milliseconds(), key, extra)
 }
@@ -55,7 +59,7 @@
 	if err != nil {
 		return nil, err
 	}
-	k := &connection{id: id, c: c, r: bufio.NewReaderSize(c, 8192), sentAt: time.Now()}
+	k := newConnection(c, id)
 	if _, err := io.WriteString(c, openLine(id, key, extra, d)); err != nil {
 		c.Close()
 		return nil, err
