--- a/review/peers/chunked_list.go
+++ b/review/peers/chunked_list.go
@@ -26,8 +26,8 @@
 	if err != nil {
 		return err
 	}
-	set := settings("pass", "subscribe", true, "safe", 1200*time.Millisecond)
-	n, err := w.startNode("n1", freeAddr(), w.tmp, config(&discovery{d: dir, addr: disc.addr}, set))
+	site := cardiffNorth()
+	n, err := w.startNode("n1", freeAddr(), w.tmp, config(&discovery{d: dir, addr: disc.addr}, site.settings))
 	if err != nil {
 		return err
 	}
@@ -39,11 +39,11 @@
 	var mu sync.Mutex
 	request := func(group int) {
 		defer clients.Done()
-		k, err := dialOpen(n.listen, newID(), fmt.Sprintf("%016x", 0x5c0f6e1a2b3d0000+group), "", 1200*time.Millisecond)
+		k, err := site.dialOpen(n.listen, newID(), fmt.Sprintf("%016x", 0x5c0f6e1a2b3d0000+group))
 		answer := "(not connected)"
 		if err == nil {
 			defer k.c.Close()
-			answer = k.read(1700 * time.Millisecond)
+			answer = k.read(site.answerLimit())
 			w.note("client %s got %q", k.id, answer)
 			time.Sleep(2 * time.Second)
 		}
--- a/review/peers/client.go
+++ b/review/peers/client.go
@@ -11,23 +11,58 @@
 	"time"
 )
 
-// settings is the settings object of a small deployment.
-func settings(mode, discovery string, probing bool, effect string, deadline time.Duration) map[string]any {
-	class := map[string]any{"name": "lookup", "aim": int64(300 * time.Millisecond), "deadline": int64(deadline), "effect": effect,
-		"dedupScope": "all", "lateWorth": 0.0, "repeatWindow": int64(5 * time.Second), "stream": true, "worth": 1.0}
-	return map[string]any{
-		"allowed": map[string]any{"connIdle": int64(5e9), "connectTimeout": int64(150e6), "cpuUsPerRequest": 0.0, "cpuUsPerS": 800000,
-			"maxRetryAfter": int64(600e6), "mayCancel": true, "mostHeld": 1000000, "peers": false, "probing": probing, "retryAfter": true,
-			"secondCopies": false, "streamsPerConn": 1048576, "tryLimit": 6},
-		"clientHabits": map[string]any{"marksRetry": true}, "countedBy": "request", "discovery": discovery, "family": "conn",
-		"familyInfo": map[string]any{"groups": true, "messageAim": []int64{250000000}, "mode": mode, "park": int64(8e9),
-			"tellsDelay": true, "tellsLoad": true, "tenantQuotaConnections": []float64{400}},
-		"flavors": []string{"full-speed"}, "grades": []any{class},
-		"invariants": map[string]any{"askWithin": int64(10e9), "coldFrom": 0.15, "fall": int64(1e9), "graceToAnswer": int64(16e6),
-			"overloadFactor": 3.0, "stopSendingWithin": int64(300e6), "warmAfter": int64(22e9)},
-		"locality": "a", "me": 0, "overShareWorth": 0.2, "parties": []any{map[string]any{"name": "acme", "quotaPerS": 1.0, "share": 1.0}},
-		"prices": map[string]any{"crossZone": 0.1}, "report": map[string]any{"fields": []string{"err_rps", "cpu", "x0"}, "via": "on_probe"},
-		"siblings": 1, "stage": 0, "stages": []string{"desk"}, "tick": int64(4e6), "weightKind": "nominal", "zones": []string{"a"}}
+// site has the settings of a small deployment, and the class of its clients.
+type site struct {
+	settings      map[string]any
+	class, tenant string
+	deadline      time.Duration // of that class
+}
+
+func class(name string, aim, deadline time.Duration, worth float64) map[string]any {
+	return map[string]any{"name": name, "aim": aim, "deadline": deadline, "effect": "safe", "dedupScope": "all", "lateWorth": 0.0,
+		"repeatWindow": 5 * time.Second, "stream": true, "worth": worth}
+}
+
+func (s *site) set(mode string, probing, retryAfter bool, tries int, connectTimeout time.Duration, messageAims ...time.Duration) {
+	s.settings["allowed"] = map[string]any{"connIdle": 5 * time.Second, "connectTimeout": connectTimeout, "cpuUsPerRequest": 0.0,
+		"cpuUsPerS": 800000, "maxRetryAfter": 600 * time.Millisecond, "mayCancel": true, "mostHeld": 1000000, "peers": false,
+		"probing": probing, "retryAfter": retryAfter, "secondCopies": false, "streamsPerConn": 1048576, "tryLimit": tries}
+	s.settings["familyInfo"] = map[string]any{"groups": true, "messageAim": messageAims, "mode": mode, "park": 8 * time.Second,
+		"tellsDelay": true, "tellsLoad": true, "tenantQuotaConnections": []float64{120, 80, 40}}
+	for key, value := range map[string]any{"clientHabits": map[string]any{"marksRetry": true}, "countedBy": "request",
+		"discovery": "subscribe", "family": "conn", "flavors": []string{"m1"}, "locality": "a", "me": 0, "overShareWorth": 0.2,
+		"parties": []any{map[string]any{"name": s.tenant, "quotaPerS": 1.0, "share": 1.0}}, "prices": map[string]any{"crossZone": 0.1},
+		"siblings": 1, "stage": 0, "stages": []string{"desk"}, "tick": 4 * time.Millisecond, "weightKind": "nominal", "zones": []string{"a"}} {
+		s.settings[key] = value
+	}
+}
+
+func invariants(grace, warmAfter time.Duration, coldFrom, factor float64) map[string]any {
+	return map[string]any{"askWithin": 10 * time.Second, "coldFrom": coldFrom, "fall": time.Second, "graceToAnswer": 16 * time.Millisecond,
+		"overloadFactor": factor, "stopSendingWithin": grace, "warmAfter": warmAfter}
+}
+
+// cardiffNorth has the settings of the operators' first deployment: packets pass through, probes, six attempts.
+func cardiffNorth() *site {
+	ms := time.Millisecond
+	s := &site{settings: map[string]any{}, class: "lookup", tenant: "dyfed-air", deadline: 1200 * ms}
+	s.set("pass", true, true, 6, 150*ms, 250*ms, 50*ms)
+	s.settings["grades"] = []any{class("lookup", 300*ms, 1200*ms, 1), class("seat-set", 300*ms, 1200*ms, 2)}
+	s.settings["invariants"] = invariants(300*ms, 22*time.Second, 0.15, 3)
+	s.settings["report"] = map[string]any{"fields": []string{"err_rps", "cpu", "x0"}, "via": "on_probe"}
+	return s
+}
+
+// proxyQuiet has the settings of deploy/sites/proxy-quiet: connections end at the balancer, no probes, two attempts.
+func proxyQuiet() *site {
+	ms := time.Millisecond
+	s := &site{settings: map[string]any{}, class: "ward-note", tenant: "st-bride", deadline: 4800 * ms}
+	s.set("proxy", false, false, 2, 60*ms, 60*ms, 100*ms, 250*ms, 60*ms)
+	s.settings["grades"] = []any{class("ward-note", 800*ms, 4800*ms, 1), class("bed-find", 500*ms, 3000*ms, 1),
+		class("dose-check", 800*ms, 3200*ms, 2), class("scan-view", 800*ms, 4800*ms, 2)}
+	s.settings["invariants"] = invariants(250*ms, 21*time.Second, 0.16, 4)
+	s.settings["report"] = map[string]any{"fields": []string{}, "via": "off"}
+	return s
 }
 
 func config(d *discovery, set map[string]any) map[string]any {
@@ -49,18 +84,21 @@
 	return &connection{id: id, c: c, r: bufio.NewReaderSize(c, 8192), sentAt: time.Now()}
 }
 
-func openLine(id, key, extra string, d time.Duration) string {
-	return fmt.Sprintf("OPEN %s %s c=lookup,t=acme,d=%d,g=%s%s\r\n", id, key, d.Milliseconds(), key, extra)
+func (s *site) openLine(id, key string) string {
+	return fmt.Sprintf("OPEN %s %s c=%s,t=%s,d=%d,g=%s\r\n", id, key, s.class, s.tenant, s.deadline.Milliseconds(), key)
 }
 
+// answerLimit is how long a client waits for the answer to OPEN: half a second more than its time.
+func (s *site) answerLimit() time.Duration { return s.deadline + 500*time.Millisecond }
+
 // dialOpen connects and sends an OPEN line, in one write.
-func dialOpen(addr, id, key, extra string, d time.Duration) (*connection, error) {
+func (s *site) dialOpen(addr, id, key string) (*connection, error) {
 	c, err := net.DialTimeout("tcp", addr, 2*time.Second)
 	if err != nil {
 		return nil, err
 	}
 	k := newConnection(c, id)
-	if _, err := io.WriteString(c, openLine(id, key, extra, d)); err != nil {
+	if _, err := io.WriteString(c, s.openLine(id, key)); err != nil {
 		c.Close()
 		return nil, err
 	}
--- a/review/peers/crowded_discovery.go
+++ b/review/peers/crowded_discovery.go
@@ -157,8 +157,8 @@
 		return err
 	}
 	go disc.work()
-	set := settings("pass", "subscribe", true, "safe", 1200*time.Millisecond)
-	set["siblings"] = 3
+	site := cardiffNorth()
+	site.settings["siblings"] = 3
 	var nodes []*node
 	for i := range 3 {
 		name := fmt.Sprintf("n%d", i+1)
@@ -166,7 +166,7 @@
 		if err := os.Mkdir(tmp, 0o755); err != nil {
 			return err
 		}
-		n, err := w.startNode(name, freeAddr(), tmp, config(&discovery{d: dir, addr: disc.addr}, set))
+		n, err := w.startNode(name, freeAddr(), tmp, config(&discovery{d: dir, addr: disc.addr}, site.settings))
 		if err != nil {
 			return err
 		}
@@ -202,7 +202,7 @@
 		go func() {
 			defer clients.Done()
 			n := nodes[i%len(nodes)]
-			k, err := dialOpen(n.listen, newID(), fmt.Sprintf("%016x", 0x5c0f6e1a2b3d0000+i%40), "", 1200*time.Millisecond)
+			k, err := site.dialOpen(n.listen, newID(), fmt.Sprintf("%016x", 0x5c0f6e1a2b3d0000+i%40))
 			if err != nil {
 				w.note("client cannot connect to %s: %v", n.name, err)
 				return
--- a/review/peers/pipeline.go
+++ b/review/peers/pipeline.go
@@ -15,7 +15,7 @@
 // get the answers unchanged, or MOVE between two of them.
 func pipeline(w *world) error {
 	const hosts, rounds, clients, lines, size = 4, 8, 10, 200, 4000
-	t, err := w.newTakeover(hosts, "pass", true)
+	t, err := w.newTakeover(hosts, cardiffNorth())
 	if err != nil {
 		return err
 	}
@@ -42,8 +42,8 @@
 				return err
 			}
 			k := newConnection(c, newID())
-			fmt.Fprint(c, openLine(k.id, fmt.Sprintf("%016x", i), "", 1200*time.Millisecond))
-			if a := k.read(1700 * time.Millisecond); firstWord(a) != "UP" {
+			fmt.Fprint(c, t.site.openLine(k.id, fmt.Sprintf("%016x", i)))
+			if a := k.read(t.site.answerLimit()); firstWord(a) != "UP" {
 				return fmt.Errorf("not up: %s", a)
 			}
 			done.Add(1)
--- a/review/peers/takeover.go
+++ b/review/peers/takeover.go
@@ -17,13 +17,13 @@
 	dir         *directory
 	disc        *discovery
 	hosts       []*host
-	set         map[string]any
+	site        *site
 	listen, tmp string
 	current     *node
 }
 
-func (w *world) newTakeover(hosts int, mode string, probing bool) (*takeover, error) {
-	t := &takeover{w: w, dir: w.newDirectory(), listen: freeAddr(), tmp: filepath.Join(w.tmp, "shared")}
+func (w *world) newTakeover(hosts int, site *site) (*takeover, error) {
+	t := &takeover{w: w, site: site, dir: w.newDirectory(), listen: freeAddr(), tmp: filepath.Join(w.tmp, "shared")}
 	for i := range hosts {
 		h, err := w.startHost(fmt.Sprintf("s-%d", i+1))
 		if err != nil {
@@ -37,11 +37,10 @@
 	if t.disc, err = w.startDiscovery(t.dir); err != nil {
 		return nil, err
 	}
-	t.set = settings(mode, "subscribe", probing, "safe", 1200*time.Millisecond)
 	if err = os.Mkdir(t.tmp, 0o755); err != nil {
 		return nil, err
 	}
-	if t.current, err = w.startNode("n1", t.listen, t.tmp, config(t.disc, t.set)); err != nil {
+	if t.current, err = w.startNode("n1", t.listen, t.tmp, config(t.disc, t.site.settings)); err != nil {
 		return nil, err
 	}
 	return t, t.current.awaitPong(10 * time.Second)
@@ -50,7 +49,7 @@
 // replace starts a new process beside the current one and waits until it says that it is ready. Then the old one gets
 // SIGTERM, atTerm is called, and the old one is killed after the longest deadline, counted as 3 s, and 0.7 s.
 func (t *takeover) replace(atTerm func()) error {
-	next, err := t.w.startNode("n1", t.listen, t.tmp, config(t.disc, t.set))
+	next, err := t.w.startNode("n1", t.listen, t.tmp, config(t.disc, t.site.settings))
 	if err != nil {
 		return err
 	}
@@ -66,16 +65,16 @@
 }
 
 func (h *host) entry(phase string) member {
-	return member{h.id, h.addr, "a", "full-speed", 0, phase, 1, 0}
+	return member{h.id, h.addr, "a", "m1", 0, phase, 1, 0}
 }
 
 // stand brings up a connection with a receipt of its desk host.
 func (t *takeover) stand(group int) (k *connection, hostID string, err error) {
-	k, err = dialOpen(t.listen, newID(), fmt.Sprintf("%016x", 0x5c0f6e1a2b3d0000+group), "", 1200*time.Millisecond)
+	k, err = t.site.dialOpen(t.listen, newID(), fmt.Sprintf("%016x", 0x5c0f6e1a2b3d0000+group))
 	if err != nil {
 		return nil, "", err
 	}
-	a := k.read(1700 * time.Millisecond)
+	a := k.read(t.site.answerLimit())
 	if firstWord(a) != "UP" {
 		k.c.Close()
 		return nil, "", fmt.Errorf("not up: %s", a)
--- a/review/peers/takeover_crash.go
+++ b/review/peers/takeover_crash.go
@@ -13,7 +13,7 @@
 func takeoverCrash(w *world) error {
 	const hosts, connections = 8, 200
 	limit := 1050 * time.Millisecond // a second, and the slack of 50 ms
-	t, err := w.newTakeover(hosts, "pass", false)
+	t, err := w.newTakeover(hosts, proxyQuiet())
 	if err != nil {
 		return err
 	}
--- a/review/peers/takeover_last_line.go
+++ b/review/peers/takeover_last_line.go
@@ -15,7 +15,7 @@
 // the answer, or MOVE.
 func takeoverLastLine(w *world) error {
 	const hosts, connections = 8, 200
-	t, err := w.newTakeover(hosts, "pass", true)
+	t, err := w.newTakeover(hosts, proxyQuiet())
 	if err != nil {
 		return err
 	}
