--- a/review/peers/world.go
+++ b/review/peers/world.go
@@ -26,7 +26,11 @@
 }
 
 func newWorld(root, folder string) (*world, error) {
-	tmp, err := os.MkdirTemp("", "review-")
+	parent := os.TempDir()
+	if len(parent) > 40 { // the processes of a balancer meet at a Unix socket below it, whose path must be short
+		parent = "/tmp"
+	}
+	tmp, err := os.MkdirTemp(parent, "review-")
 	if err != nil {
 		return nil, err
 	}
