--- a/review/peers/pipeline.go
+++ b/review/peers/pipeline.go
@@ -14,7 +14,7 @@
 // pipeline has clients send 200 lines at once on connections that stand, and read the answers as they come. Each has to
 // get the answers unchanged, or MOVE between two of them.
 func pipeline(w *world) error {
-	const hosts, rounds, clients, lines, size = 4, 8, 10, 200, 4000
+	const hosts, rounds, clients, lines, size = 4, 30, 10, 200, 4000
 	t, err := w.newTakeover(hosts, cardiffNorth())
 	if err != nil {
 		return err
