Trace of the lease on the host list: how long it lasts, and which event changed it

The debug log showed refused calls and late requests, but not whether the lease was extended by the refusals, was never consulted, or had no end.

Change: Observer.LeaseChanged has the cause as a typed value; the node traces it as list-lease, and the drain search explains it.

--- a/internal/discovery/lease.go
+++ b/internal/discovery/lease.go
@@ -33,24 +33,26 @@
 func (w *Watcher) sendAllowance() time.Duration { return w.Grace - 2*maxStall }
 
 // setLease sets the end of the lease and notifies the observer if it has changed.
-func (w *Watcher) setLease(now, until time.Duration) {
+func (w *Watcher) setLease(now, until time.Duration, cause LeaseCause) {
 	if until == w.leaseEnd {
 		return
 	}
 	w.leaseEnd = until
-	w.observer.LeaseChanged(now, until)
+	w.observer.LeaseChanged(now, until, cause)
 }
 
 // extendLease makes the lease last at least until the given time.
-func (w *Watcher) extendLease(now, until time.Duration) { w.setLease(now, max(w.leaseEnd, until)) }
+func (w *Watcher) extendLease(now, until time.Duration, cause LeaseCause) {
+	w.setLease(now, max(w.leaseEnd, until), cause)
+}
 
 // renewLease starts a new lease: discovery has answered, and the next call is open or about to be sent.
 func (w *Watcher) renewLease(now time.Duration) {
 	if w.Pushed {
-		w.setLease(now, Unlimited)
+		w.setLease(now, Unlimited, LeaseRenewed)
 		return
 	}
-	w.setLease(now, now+notifiedWithin+w.sendAllowance())
+	w.setLease(now, now+notifiedWithin+w.sendAllowance(), LeaseRenewed)
 	w.coverLongPoll(now, w.current())
 }
 
@@ -58,7 +60,7 @@
 // does not follow an answer.
 func (w *Watcher) coverLongPoll(now time.Duration, c *connection) {
 	if !w.Pushed && c != nil && c.awaitingAnswer && len(w.connections) == 1 && c.wait+notifiedAfterPoll > notifiedWithin {
-		w.extendLease(now, c.calledAt+c.wait+notifiedAfterPoll+w.sendAllowance())
+		w.extendLease(now, c.calledAt+c.wait+notifiedAfterPoll+w.sendAllowance(), LeaseLongPoll)
 	}
 }
 
@@ -69,13 +71,13 @@
 	if w.moved {
 		limit = notifiedAfterReload
 	}
-	w.extendLease(now, now+limit+w.sendAllowance())
+	w.extendLease(now, now+limit+w.sendAllowance(), LeaseUnreachable)
 }
 
 // shortenAfterMove limits the lease after a reload that changes the address of discovery.
 func (w *Watcher) shortenAfterMove(now time.Duration) {
 	if !w.Pushed {
-		w.setLease(now, min(w.leaseEnd, now+notifiedAfterReload+w.sendAllowance()))
+		w.setLease(now, min(w.leaseEnd, now+notifiedAfterReload+w.sendAllowance()), LeaseMoved)
 	}
 }
 
--- a/internal/discovery/observer.go
+++ b/internal/discovery/observer.go
@@ -13,9 +13,20 @@
 	WatchStopped(now time.Duration)
 	ListReceived(now time.Duration, list *List)
 	// LeaseChanged is called after each change of the time until which the list may be used.
-	LeaseChanged(now, until time.Duration)
+	LeaseChanged(now, until time.Duration, cause LeaseCause)
 }
 
+// LeaseCause is the event that changed the lease on the host list.
+type LeaseCause string
+
+// The causes of a change of the lease.
+const (
+	LeaseRenewed     LeaseCause = "answer"          // discovery has answered a call
+	LeaseLongPoll    LeaseCause = "long poll"       // a long poll is open, which extends the lease over its wait
+	LeaseUnreachable LeaseCause = "unreachable"     // discovery could not be reached
+	LeaseMoved       LeaseCause = "discovery moved" // a reload has changed the address of discovery
+)
+
 // CallStart describes a call when it is sent.
 type CallStart struct {
 	Connection int // the number of its connection, counted since the start
--- a/internal/discovery/watcher_test.go
+++ b/internal/discovery/watcher_test.go
@@ -20,6 +20,7 @@
 	failed     []error
 	watchStops int
 	leaseEnd   time.Duration
+	leaseCause LeaseCause // of its last change
 }
 
 func (r *recorder) Dial(_ time.Duration, connection int, _ string, _ time.Duration) {
@@ -32,8 +33,10 @@
 func (r *recorder) CallFailed(_ time.Duration, f CallFailure) { r.failed = append(r.failed, f.Err) }
 func (r *recorder) WatchStopped(time.Duration)                { r.watchStops++ }
 func (r *recorder) ListReceived(_ time.Duration, list *List)  { r.lists = append(r.lists, list) }
-func (r *recorder) LeaseChanged(_, until time.Duration)       { r.leaseEnd = until }
-func (r *recorder) last() *List                               { return r.lists[len(r.lists)-1] }
+func (r *recorder) LeaseChanged(_, until time.Duration, cause LeaseCause) {
+	r.leaseEnd, r.leaseCause = until, cause
+}
+func (r *recorder) last() *List { return r.lists[len(r.lists)-1] }
 func newStartedWatcher() (*Watcher, *recorder, *deadline.Queue) {
 	r, q := &recorder{open: map[int]bool{}}, &deadline.Queue{}
 	w := NewWatcher("d", r, r, q)
--- a/internal/lab/drainsearch/watch.go
+++ b/internal/lab/drainsearch/watch.go
@@ -72,7 +72,10 @@
 }
 
 // LeaseChanged passes the lease to the request table.
-func (o observer) LeaseChanged(now, until time.Duration) { o.table.SetLease(now, until) }
+func (o observer) LeaseChanged(now, until time.Duration, cause discovery.LeaseCause) {
+	o.world.explain("balancer %d: lease until %.3f: %s", o.number, (until - start).Seconds(), cause)
+	o.table.SetLease(now, until)
+}
 
 // ListReceived passes a list to the request table.
 func (o observer) ListReceived(now time.Duration, list *discovery.List) {
--- a/internal/net/watch.go
+++ b/internal/net/watch.go
@@ -60,8 +60,9 @@
 }
 
 // LeaseChanged notifies the module until when the list may be used.
-func (w *watch) LeaseChanged(now, until time.Duration) {
+func (w *watch) LeaseChanged(now, until time.Duration, cause discovery.LeaseCause) {
 	w.leased = true
+	w.traceLease(now, until, cause)
 	w.node.table.SetLease(now, until)
 }
 
--- a/internal/net/watchlog.go
+++ b/internal/net/watchlog.go
@@ -31,6 +31,15 @@
 		"wait", call.Wait, "limit", call.Timeout)
 }
 
+// traceLease traces a change of the lease on the host list.
+func (w *watch) traceLease(now, until time.Duration, cause discovery.LeaseCause) {
+	if until == discovery.Unlimited {
+		w.node.trace("list-lease", "cause", cause, "limited", false)
+		return
+	}
+	w.node.trace("list-lease", "cause", cause, "limited", true, "lasts", until-now)
+}
+
 // CallResent counts a call that is sent again because its connection ended as it was sent.
 func (w *watch) CallResent() {
 	w.node.counters.Add("discovery calls crossed by the end of their connection")
