A refused call for the host list no longer extends the lease on the old one

Cause: Watcher.showsUnreachable took a 503 and a reset for proof that discovery could not be reached, so each one extended the lease by 6 s; and a long poll that was refused after waiting in discovery's queue still counted with its wait of 8 s, though it had watched nothing.

The mend: only a refused connection extends the lease, while it is in force; what a long poll added is taken back when it ends without an answer, but where it was reset after longer than a call waits in the queue. Why it works: the 6 s then count from the last moment up to which all changes are known, whatever is refused later.

--- a/internal/discovery/lease.go
+++ b/internal/discovery/lease.go
@@ -32,27 +32,31 @@
 // sendAllowance is how long after a notification new requests may still be sent: the drain grace less two stalls.
 func (w *Watcher) sendAllowance() time.Duration { return w.Grace - 2*maxStall }
 
-// setLease sets the end of the lease and notifies the observer if it has changed.
-func (w *Watcher) setLease(now, until time.Duration, cause LeaseCause) {
-	if until == w.leaseEnd {
-		return
-	}
-	w.leaseEnd = until
-	w.observer.LeaseChanged(now, until, cause)
+// lease is the lease on the host list. It lasts until the later of two times.
+type lease struct {
+	list time.Duration // by the last answer, or since discovery could not be reached; 0 before the first of these
+	poll time.Duration // by the long poll that followed the last answer; 0 if there is none
 }
 
-// extendLease makes the lease last at least until the given time.
-func (w *Watcher) extendLease(now, until time.Duration, cause LeaseCause) {
-	w.setLease(now, max(w.leaseEnd, until), cause)
+func (l lease) end() time.Duration { return max(l.list, l.poll) }
+
+// setLease replaces the lease and notifies the observer if its end has changed.
+func (w *Watcher) setLease(now time.Duration, l lease, cause LeaseCause) {
+	before := w.lease.end()
+	w.lease = l
+	if end := l.end(); end != before {
+		w.observer.LeaseChanged(now, end, cause)
+	}
 }
 
 // renewLease starts a new lease: discovery has answered, and the next call is open or about to be sent.
 func (w *Watcher) renewLease(now time.Duration) {
 	if w.Pushed {
-		w.setLease(now, Unlimited, LeaseRenewed)
+		w.setLease(now, lease{list: Unlimited}, LeaseRenewed)
 		return
 	}
-	w.setLease(now, now+notifiedWithin+w.sendAllowance(), LeaseRenewed)
+	w.polling = nil
+	w.setLease(now, lease{list: now + notifiedWithin + w.sendAllowance()}, LeaseRenewed)
 	w.coverLongPoll(now, w.current())
 }
 
@@ -60,34 +64,66 @@
 // does not follow an answer.
 func (w *Watcher) coverLongPoll(now time.Duration, c *connection) {
 	if !w.Pushed && c != nil && c.awaitingAnswer && len(w.connections) == 1 && c.wait+notifiedAfterPoll > notifiedWithin {
-		w.extendLease(now, c.calledAt+c.wait+notifiedAfterPoll+w.sendAllowance(), LeaseLongPoll)
+		w.polling = c
+		w.setLease(now, lease{w.lease.list, c.calledAt + c.wait + notifiedAfterPoll + w.sendAllowance()}, LeaseLongPoll)
 	}
 }
 
+// leaseAfterFailure updates the lease after a failed call or connection.
+func (w *Watcher) leaseAfterFailure(now time.Duration, c *connection, err error, kind FailureKind) {
+	switch {
+	case kind == FailureRefused && c.callsMade == 0:
+		w.discoveryUnreachable(now)
+	case w.Pushed: // an agent runs on this machine and is called again at once
+	case !w.listReceived && refusesCall(c, err, kind):
+		w.discoveryUnreachable(now)
+	default:
+		w.endLongPoll(now, c, err)
+	}
+}
+
+// refusesCall reports whether discovery refused the call, or closed the connection without an answer. It does so when
+// it is down, but also when it is overloaded and thus reachable. A process that has received no list yet cannot tell
+// these apart, and takes it as down.
+func refusesCall(c *connection, err error, kind FailureKind) bool {
+	return kind == FailureRefused && (!c.answerStarted || errors.Is(err, ErrStatus))
+}
+
 // discoveryUnreachable records that discovery could not be reached until now, so none of its changes count as notified
-// yet.
+// yet. That does not revive a lease that is over: the changes that count as notified by then still do.
 func (w *Watcher) discoveryUnreachable(now time.Duration) {
+	if w.listReceived && now >= w.lease.end()-w.sendAllowance() {
+		return
+	}
 	limit := notifiedWithin
 	if w.moved {
 		limit = notifiedAfterReload
 	}
-	w.extendLease(now, now+limit+w.sendAllowance(), LeaseUnreachable)
+	w.setLease(now, lease{max(w.lease.list, now+limit+w.sendAllowance()), w.lease.poll}, LeaseUnreachable)
 }
 
-// shortenAfterMove limits the lease after a reload that changes the address of discovery.
-func (w *Watcher) shortenAfterMove(now time.Duration) {
-	if !w.Pushed {
-		w.setLease(now, min(w.leaseEnd, now+notifiedAfterReload+w.sendAllowance()), LeaseMoved)
+// maxQueueTime is how long an overloaded discovery may keep a call waiting before it handles or refuses it.
+const maxQueueTime = fullListTimeout
+
+// endLongPoll takes back what a long poll added to the lease, if that is the call that ended without a usable answer.
+// An overloaded discovery may have refused it without ever watching for changes. If it was open for longer than a call
+// waits in the queue, it was a watch, which has reported all changes until its end, or fell silent before.
+func (w *Watcher) endLongPoll(now time.Duration, c *connection, err error) {
+	if c != w.polling {
+		return
 	}
+	w.polling = nil
+	list := w.lease.list
+	if now-c.calledAt > maxQueueTime && !errors.Is(err, ErrStatus) {
+		list = max(list, min(w.lease.poll, now+notifiedWithin+w.sendAllowance()))
+	}
+	w.setLease(now, lease{list: list}, LeaseCallFailed)
 }
 
-// showsUnreachable reports whether a failure proves that discovery could not be reached: it refused the connection or
-// the call, or closed the connection without an answer. An answer that is truncated or malformed proves the opposite.
-// An agent runs on this machine and is called again at once; only a refused connection, which means that it does not
-// run, proves that it could not be reached.
-func (w *Watcher) showsUnreachable(c *connection, err error, kind FailureKind) bool {
-	if w.Pushed && c.callsMade > 0 {
-		return false
+// shortenAfterMove limits the lease after a reload that changes the address of discovery.
+func (w *Watcher) shortenAfterMove(now time.Duration) {
+	if !w.Pushed {
+		w.polling = nil
+		w.setLease(now, lease{list: min(w.lease.end(), now+notifiedAfterReload+w.sendAllowance())}, LeaseMoved)
 	}
-	return kind == FailureRefused && (!c.answerStarted || errors.Is(err, ErrStatus))
 }
--- a/internal/discovery/observer.go
+++ b/internal/discovery/observer.go
@@ -24,6 +24,7 @@
 	LeaseRenewed     LeaseCause = "answer"          // discovery has answered a call
 	LeaseLongPoll    LeaseCause = "long poll"       // a long poll is open, which extends the lease over its wait
 	LeaseUnreachable LeaseCause = "unreachable"     // discovery could not be reached
+	LeaseCallFailed  LeaseCause = "call failed"     // a call has ended without a usable answer
 	LeaseMoved       LeaseCause = "discovery moved" // a reload has changed the address of discovery
 )
 
--- a/internal/discovery/watcher.go
+++ b/internal/discovery/watcher.go
@@ -44,9 +44,11 @@
 	connections    []*connection // by age, the oldest first; all but at most one are overdue
 	lastNumber     int           // the number of the newest connection
 	retry          *deadline.Deadline
+	listReceived   bool          // a list has been received since the start, perhaps from another discovery
 	answeredAt     time.Duration // when this discovery last answered; 0 if it has not
 	olderListSince time.Duration // when it first sent an older list since its last answer; 0 if it has not
-	leaseEnd       time.Duration // the list may be used until then; 0 before the first lease
+	lease          lease
+	polling        *connection // the long poll that the lease covers; nil if there is none
 }
 
 // NewWatcher returns a watcher of the discovery at an address. It holds no list, and the watch is off.
@@ -119,12 +121,10 @@
 // callFailed handles a failed call or connection. An overdue call has been followed by another one already.
 func (w *Watcher) callFailed(now time.Duration, c *connection, err error, kind FailureKind) {
 	w.drop(c)
+	w.leaseAfterFailure(now, c, err, kind)
 	if !c.overdue {
 		w.scheduleRetry(now, c, err, kind)
 	}
-	if w.showsUnreachable(c, err, kind) {
-		w.discoveryUnreachable(now)
-	}
 }
 
 // scheduleRetry schedules the next call, or notifies the observer that the watch has stopped.
@@ -185,6 +185,7 @@
 		w.CallResent()
 		w.observer.CallResent()
 		w.drop(c)
+		w.endLongPoll(now, c, errAnswerTruncated)
 		w.dial(now)
 	case c.awaitingAnswer:
 		w.feed(now, c, nil, true)
@@ -226,7 +227,7 @@
 	current := w.current()
 	concurrent := current != nil && current != c
 	laterCallAnswered := concurrent && w.answeredAt > c.calledAt // a call that was made later has been answered before
-	w.answeredAt, w.olderListSince = now, 0
+	w.listReceived, w.answeredAt, w.olderListSince = true, now, 0
 	w.deadlines.Stop(c.timeout)
 	w.deadlines.Stop(w.retry)
 	c.awaitingAnswer = false
--- a/internal/lab/drainsearch/regressions_test.go
+++ b/internal/lab/drainsearch/regressions_test.go
@@ -77,6 +77,10 @@
 		"a list names a host twice":                                   pollingScript().withDrain(2*time.Second).withFault(DuplicateHost, 1900*ms, 2100*ms).withRequests(9*time.Second, 0, false),
 		"an older list arrives again": pollingScript().withDrain(2*time.Second).withFault(StaleList, 9900*ms, 12*time.Second).
 			withRequests(11*time.Second, 0, false),
+		"an overloaded discovery refuses all calls for long": pollingScript().withDrain(9*time.Second).withFault(Refusing, 7*time.Second, 30*time.Second).
+			withRequests(time.Second, 0, false).withRequests(16*time.Second, 0, false).withRequests(25*time.Second, 0, false),
+		"an overloaded discovery refuses all calls after an outage": pollingScript().withDrain(9*time.Second).withFault(Outage, 2*time.Second, 8*time.Second).
+			withFault(Refusing, 8*time.Second, 30*time.Second).withRequests(time.Second, 0, false).withRequests(16*time.Second, 0, false).withRequests(25*time.Second, 0, false),
 	} {
 		t.Run(name, func(t *testing.T) {
 			judged := 0
