A chunked list is kept when the CRLF that ends its message comes by itself

Cause: Exchange.Feed takes an answer for incomplete only where the body's error is io.ErrUnexpectedEOF. Within the trailer of a chunked answer net/http reports another error, so the call failed, its connection was dropped and the list with it.

Evidence: the balancer's log has discovery-call-failed, reason 'http: unexpected EOF reading trailer', 0.2 to 1 ms after each of 15 calls in a row. TestAnswerInTwoPieces cuts four forms of an answer in two at each byte; it failed before ('one chunk, cut at 269 of 271').

The mend: the parser reads from a source that records whether it asked for more than there is. Then the answer is not complete, whichever error the parser has; an error before the end of the data fails the call at once, as TestIncompleteAnswers wants.

--- a/internal/discovery/client.go
+++ b/internal/discovery/client.go
@@ -76,15 +76,9 @@
 	if !ended && !e.mayBeComplete() {
 		return nil, false, nil
 	}
-	resp, err := http.ReadResponse(bufio.NewReader(bytes.NewReader(e.buffer)), nil)
-	if err != nil {
-		return nil, false, fmt.Errorf("discovery: %w", err)
-	}
-	defer resp.Body.Close()
-	e.readAnswerSize(resp)
-	body, err := io.ReadAll(resp.Body)
-	closeDelimited := resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
-	if !ended && (errors.Is(err, io.ErrUnexpectedEOF) || closeDelimited) {
+	source := &endDetector{data: e.buffer}
+	resp, body, err := e.parse(source)
+	if !ended && source.endReached {
 		return nil, false, nil // the answer is not complete yet
 	}
 	if err != nil {
@@ -102,6 +96,36 @@
 	return list, !resp.Close && !ended, nil
 }
 
+// parse reads an answer and its body.
+func (e *Exchange) parse(source io.Reader) (resp *http.Response, body []byte, err error) {
+	resp, err = http.ReadResponse(bufio.NewReader(source), nil)
+	if err != nil {
+		return nil, nil, err
+	}
+	defer resp.Body.Close()
+	e.readAnswerSize(resp)
+	body, err = io.ReadAll(resp.Body)
+	return resp, body, err
+}
+
+// endDetector reads data, and records whether a reader has asked for more than there is. An error that a parser reports
+// then may only mean that the rest has not arrived yet, whatever error it is.
+type endDetector struct {
+	data       []byte
+	endReached bool
+}
+
+// Read implements io.Reader.
+func (d *endDetector) Read(p []byte) (n int, err error) {
+	if len(d.data) == 0 {
+		d.endReached = true
+		return 0, io.EOF
+	}
+	n = copy(p, d.data)
+	d.data = d.data[n:]
+	return n, nil
+}
+
 // mayBeComplete reports whether the answer may be complete. It is a cheap check that saves parsing the answer before.
 func (e *Exchange) mayBeComplete() bool {
 	if e.answerSize > 0 {
--- a/internal/discovery/client_test.go
+++ b/internal/discovery/client_test.go
@@ -87,6 +87,48 @@
 	assert.True(t, got != nil && !keep)
 }
 
+// answerForms are answers with partialListJSON in the forms of HTTP/1.1 whose end is told by the answer itself.
+var answerForms = map[string]string{
+	"content length": response("200 OK", partialListJSON),
+	"one chunk":      fmt.Sprintf("%s%x\r\n%s\r\n0\r\n\r\n", chunkedHeader, len(partialListJSON), partialListJSON),
+	"two chunks":     fmt.Sprintf("%s%x\r\n%s\r\n%x;ext=1\r\n%s\r\n0\r\n\r\n", chunkedHeader, 30, partialListJSON[:30], len(partialListJSON)-30, partialListJSON[30:]),
+	"trailer fields": fmt.Sprintf("%s%x\r\n%s\r\n0\r\nExpires: 0\r\nX-Sum: 1\r\n\r\n", chunkedHeader, len(partialListJSON), partialListJSON),
+}
+
+const chunkedHeader = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+// Guards against lists that are thrown away, and the drains in them, because an answer comes in pieces: in all forms,
+// cut in two at each byte, the first piece is kept until the second one comes.
+func TestAnswerInTwoPieces(t *testing.T) {
+	for name, text := range answerForms {
+		for cut := 1; cut < len(text); cut++ {
+			c := newSessionClient("h", 41)
+			_ = c.Call(time.Second)
+			got, _, err := c.Feed([]byte(text[:cut]), false)
+			require.NoError(t, err, "%s, cut at %d of %d", name, cut, len(text))
+			require.Nil(t, got, "%s, cut at %d of %d", name, cut, len(text))
+			got, keep, err := c.Feed([]byte(text[cut:]), false)
+			require.NoError(t, err, "%s, cut at %d of %d", name, cut, len(text))
+			require.True(t, got != nil && keep, "%s, cut at %d of %d", name, cut, len(text))
+			require.Contains(t, string(c.Call(time.Second)), "since=43&")
+		}
+	}
+}
+
+// An answer that is cut short by the end of its connection, or whose chunks are malformed, fails at once.
+func TestIncompleteAnswers(t *testing.T) {
+	for name, text := range answerForms {
+		_, _, err := newSessionClient("h", 41).Feed([]byte(text[:len(text)-1]), true)
+		if assert.Error(t, err, name); name != "content length" {
+			assert.NotErrorIs(t, err, ErrUnreadable, name)
+		}
+	}
+	for name, body := range map[string]string{"chunk size": "zz\r\n{}\r\n0\r\n\r\n", "chunk end": "2\r\n{}xx0\r\n\r\n", "trailer": "2\r\n{}\r\n0\r\n:\r\n\r\n"} {
+		_, _, err := newSessionClient("h", 41).Feed([]byte(chunkedHeader+body), false)
+		assert.Error(t, err, name)
+	}
+}
+
 func TestFailedCalls(t *testing.T) {
 	for name, text := range map[string]string{"503": response("503 Service Unavailable", "busy"), "no HTTP": "what\r\n\r\n",
 		"bad list": response("200 OK", `{"revision":9}`)} {
