An interim response of discovery is no longer taken for its answer

PROTOCOL has discovery speak HTTP/1.1, where responses with status 1xx may precede any answer.

Cause: Exchange.Feed takes the first response for the answer, so a 103 counted as a refused call and the connection was dropped with the list.

Evidence: TestInterimResponses (103 and 100 before four forms of an answer, cut in two at each of their bytes) failed before: 'answered with status 103'.

The mend: Feed removes complete interim responses before it looks for the answer. Measured: the tests of discovery pass; no process was run with it.

--- a/internal/discovery/client.go
+++ b/internal/discovery/client.go
@@ -73,6 +73,7 @@
 	if e.buffer = append(e.buffer, data...); len(e.buffer) > maxAnswerSize {
 		return nil, false, fmt.Errorf("%w: longer than %d bytes", ErrUnreadable, maxAnswerSize)
 	}
+	e.dropInterimResponses()
 	if !ended && !e.mayBeComplete() {
 		return nil, false, nil
 	}
@@ -134,7 +135,21 @@
 	return bytes.Contains(e.buffer, headerEnd)
 }
 
-var headerEnd = []byte("\r\n\r\n")
+// dropInterimResponses removes the interim responses (status 1xx) that precede the answer.
+func (e *Exchange) dropInterimResponses() {
+	for bytes.HasPrefix(e.buffer, interimStatus) {
+		_, rest, found := bytes.Cut(e.buffer, headerEnd)
+		if !found {
+			return
+		}
+		e.buffer = rest
+	}
+}
+
+var (
+	interimStatus = []byte("HTTP/1.1 1")
+	headerEnd     = []byte("\r\n\r\n")
+)
 
 // readAnswerSize stores the size of the answer if its header contains the length. Without it, the list of a thousand
 // hosts, which comes in a hundred packets, would be parsed anew with each packet, which takes longer than a drain
--- a/internal/discovery/client_test.go
+++ b/internal/discovery/client_test.go
@@ -115,6 +115,23 @@
 	}
 }
 
+// Guards against a list that is thrown away because an interim response, which HTTP/1.1 allows before any answer, is
+// taken for the answer.
+func TestInterimResponses(t *testing.T) {
+	interim := "HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\nHTTP/1.1 100 Continue\r\n\r\n"
+	for name, text := range answerForms {
+		for cut := 1; cut < len(interim)+40; cut++ {
+			c := newSessionClient("h", 41)
+			got, _, err := c.Feed([]byte((interim + text)[:cut]), false)
+			require.NoError(t, err, "%s, cut at %d", name, cut)
+			require.Nil(t, got, "%s, cut at %d", name, cut)
+			got, keep, err := c.Feed([]byte((interim + text)[cut:]), false)
+			require.NoError(t, err, "%s, cut at %d", name, cut)
+			require.True(t, got != nil && keep, "%s, cut at %d", name, cut)
+		}
+	}
+}
+
 // An answer that is cut short by the end of its connection, or whose chunks are malformed, fails at once.
 func TestIncompleteAnswers(t *testing.T) {
 	for name, text := range answerForms {
