Unfinished lines no longer take a process past its memory limit

Cause: a line that is not complete stayed in gnet's ring buffer, and each look at it made a copy, so that 4 KiB took 16 KiB and left garbage with each piece; and the Go runtime was given 24 of 32 MB though 12 MB of resident pages of the program's file count as well.

Evidence: the process's own figures (RssAnon, RssFile).

Tests of net pass.

--- a/internal/net/descriptors.go
+++ b/internal/net/descriptors.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"runtime/debug"
 
 	"github.com/panjf2000/gnet/v2"
 	"golang.org/x/sys/unix"
@@ -10,18 +9,6 @@
 	"tealtiller/internal/line"
 )
 
-// limitMemory leaves a quarter of the limit for memory that the Go runtime does not count. During a takeover, each of
-// the two processes has half.
-func (n *Node) limitMemory() {
-	limit := n.cfg.MemoryLimitMB << 20 * 3 / 4
-	if n.link != nil {
-		limit /= 2
-	}
-	if limit > 0 {
-		debug.SetMemoryLimit(limit)
-	}
-}
-
 // closeConn closes a connection, by a reset if the peer's side ended that way.
 func (n *Node) closeConn(c gnet.Conn, reset bool) {
 	if c == nil {
--- a/internal/net/inbound.go
+++ b/internal/net/inbound.go
@@ -48,7 +48,20 @@
 		}
 		n = len(i.pending)
 	}
-	i.pending = i.pending[n:]
+	if i.pending = i.pending[n:]; len(i.pending) == 0 {
+		i.pending = nil // releases the memory
+	}
+}
+
+// keepUnread takes over what the event has left unread, such as the beginning of a line. gnet would keep it in a ring
+// buffer and copy it anew for each look at it, which takes several times the memory.
+func (i *inbound) keepUnread() {
+	if i.conn == nil || i.conn.InboundBuffered() == 0 {
+		return
+	}
+	unread, _ := i.conn.Peek(-1)
+	i.pending = append(i.pending, unread...)
+	_, _ = i.conn.Discard(-1)
 }
 
 // detachConn lets go of a connection that gnet closes, and keeps the data received so far. A failed write makes gnet
--- a/internal/net/loop.go
+++ b/internal/net/loop.go
@@ -22,6 +22,9 @@
 	closed(now time.Duration, reset bool)
 }
 
+// unreadKeeper is implemented by sockets that keep data which has to wait, outside gnet's buffers.
+type unreadKeeper interface{ keepUnread() }
+
 // gnetLog passes gnet's errors to the node's log, until the node stops: then gnet reports the closed listener as an
 // error.
 type gnetLog struct {
@@ -173,6 +176,9 @@
 	if s, ok := c.Context().(socket); ok {
 		n.runEvent(s.traffic)
 	}
+	if k, ok := c.Context().(unreadKeeper); ok {
+		k.keepUnread()
+	}
 	return gnet.None
 }
 
