A host that only a client's request has named is forgotten with its connection

Cause: Balancer.Inherit registers the request at the named server, and Balancer.server creates one that no list has named; it stayed until the next list, up to ten minutes where gone servers are usable.

Evidence: TestServersThatNoListNamesAreForgotten finds 1,003 stored servers of which 3 are listed.

The mend: a server that no list has named is dropped with its last connection. Why it works: what a client can name is then bounded by its open requests.

--- a/policy/changes_test.go
+++ b/policy/changes_test.go
@@ -142,3 +142,23 @@
 		t.Errorf("ranks %v after a list that names each twice", got)
 	}
 }
+
+// Guards against memory that grows with each new name of a server that a client makes up.
+func TestServersThatNoListNamesAreForgotten(t *testing.T) {
+	servers := fleet(3)
+	b, _ := newBalancer(t, servers)
+	for i := range 1000 {
+		id := fmt.Sprint("q", i)
+		b.Inherit(t0, newRequest(id, uint64(i)), fmt.Sprint("unknown", i))
+		b.Outcome(t0, id, ConnectFailed, true)
+	}
+	if len(b.servers) != len(servers) {
+		t.Errorf("%d servers are stored, %d are listed", len(b.servers), len(servers))
+	}
+	b.Inherit(t0, newRequest("first", 1), "unknown")
+	b.Inherit(t0, newRequest("second", 2), "unknown")
+	b.Outcome(t0, "first", OK, true)
+	if s := b.servers["unknown"]; s == nil || s.established != 1 {
+		t.Error("a server with a connection is forgotten")
+	}
+}
--- a/policy/list.go
+++ b/policy/list.go
@@ -103,6 +103,14 @@
 	b.multipliersStale = b.multipliersStale || len(b.list) != before
 }
 
+// forgetUnlisted drops a server that no list has named, only a request of a client, once it has no
+// connections.
+func (b *Balancer) forgetUnlisted(s *server) {
+	if s.listedIn == 0 && len(s.connections) == 0 && b.servers[s.ID] == s {
+		delete(b.servers, s.ID)
+	}
+}
+
 // RemoveServer takes a server off the list, as another instance uses it from now on. Its established
 // connections stay.
 func (b *Balancer) RemoveServer(id string) {
--- a/policy/request.go
+++ b/policy/request.go
@@ -175,6 +175,7 @@
 	if r.server = nil; r.established {
 		s.established--
 	}
+	b.forgetUnlisted(s)
 	switch result {
 	case NotSent:
 		// an attempt that was never sent does not count
