An id that may have run does not run again, here or at the new process of an upgrade

Cause: Table.IsOpen knows the open requests of this process alone; what has ended was forgotten at once, and a process that takes over was told of established connections only, not of requests that still wait for their answer at the old one.

Evidence: the stand-in host records each OPEN by its id.

The mend: the table keeps hashes of the last 32,768 ids that may have run, and such an id gets one ERR; the process that hands over sends the ids of its open requests and the newest of the others in the message by which the other one leads, in a place that older versions ignore. What a host turned away or never got may come again; mid-flow connections and those from before the run come with their ids as before.

TestMessagesRoundTrip has ids in the activating message.

--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -4,8 +4,10 @@
 
 import (
 	"bytes"
+	"encoding/binary"
 	"errors"
 	"fmt"
+	"slices"
 )
 
 // Kind is the type of a message.
@@ -30,10 +32,24 @@
 	OpenLine []byte // KindEstablished: the client's OPEN line as received
 	// Bytes that were read from the client's or the desk host's socket and not relayed yet.
 	FromClient, FromHost []byte
+	// KindActivate: hashes of the ids that clients have used and must not use again. They are encoded in the place of
+	// FromClient, which versions that do not know them ignore.
+	UsedIDs []uint64
 }
 
+// MaxUsedIDs is how many hashes fit a message.
+const MaxUsedIDs = (MaxMessageSize - maxHeadSize) / hashSize
+
+const (
+	hashSize    = 8
+	maxHeadSize = 128 // of KindActivate
+)
+
 // Append appends the encoded message to out.
 func (m Message) Append(out []byte) []byte {
+	for _, hash := range m.UsedIDs {
+		m.FromClient = binary.BigEndian.AppendUint64(m.FromClient, hash)
+	}
 	out = fmt.Appendf(out, "%s %d %d %d %d %s\n", m.Kind, m.Number, len(m.OpenLine), len(m.FromClient), len(m.FromHost), m.Server)
 	out = append(out, m.OpenLine...)
 	out = append(out, m.FromClient...)
@@ -74,5 +90,20 @@
 	case m.Kind != KindDescriptorLimit && m.Kind != KindActivate && m.Kind != KindIdleClient && m.Kind != KindEstablished:
 		return m, errMalformed
 	}
-	return m, nil
+	return m, m.parseUsedIDs()
+}
+
+// parseUsedIDs takes the hashes out of FromClient.
+func (m *Message) parseUsedIDs() error {
+	switch {
+	case m.Kind != KindActivate:
+		return nil
+	case len(m.FromClient)%hashSize != 0:
+		return errMalformed
+	}
+	for hash := range slices.Chunk(m.FromClient, hashSize) {
+		m.UsedIDs = append(m.UsedIDs, binary.BigEndian.Uint64(hash))
+	}
+	m.FromClient = nil
+	return nil
 }
--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -9,7 +9,7 @@
 
 var messages = []Message{
 	{Kind: KindDescriptorLimit, Number: 384, OpenLine: []byte{}, FromClient: []byte{}, FromHost: []byte{}},
-	{Kind: KindActivate, OpenLine: []byte{}, FromClient: []byte{}, FromHost: []byte{}},
+	{Kind: KindActivate, OpenLine: []byte{}, FromHost: []byte{}, UsedIDs: []uint64{1, 1<<63 + 7}},
 	{Kind: KindIdleClient, OpenLine: []byte{}, FromClient: []byte("OPEN 1"), FromHost: []byte{}},
 	{Kind: KindEstablished, Server: "s-1 b", OpenLine: []byte("OPEN 1 a c=x,d=1\r\n"), FromClient: []byte("ha\n"), FromHost: []byte("l")},
 }
@@ -32,6 +32,21 @@
 	}
 }
 
+// An older version sends no ids with its last message.
+func TestActivateWithoutIDs(t *testing.T) {
+	m, err := Parse([]byte("lead 0 0 0 0 \n"))
+	require.NoError(t, err)
+	assert.Empty(t, m.UsedIDs)
+	_, err = Parse([]byte("lead 0 0 7 0 \n1234567"))
+	assert.Error(t, err, "half a hash")
+}
+
+// As many ids as are sent fit a message.
+func TestMaxUsedIDsFit(t *testing.T) {
+	m := Message{Kind: KindActivate, UsedIDs: make([]uint64, MaxUsedIDs)}
+	assert.LessOrEqual(t, len(m.Append(nil)), MaxMessageSize)
+}
+
 func FuzzParse(f *testing.F) {
 	for _, m := range messages {
 		f.Add(m.Append(nil))
--- a/internal/net/downstream.go
+++ b/internal/net/downstream.go
@@ -145,6 +145,9 @@
 	if n.table.IsOpen(o.ID) {
 		return fmt.Errorf("an operation of id %s is open", o.ID)
 	}
+	if !o.MidFlow && o.HostID == "" && n.table.MayHaveRun(o.ID) {
+		return fmt.Errorf("an operation of id %s was sent before", o.ID)
+	}
 	return nil
 }
 
--- a/internal/net/inherit.go
+++ b/internal/net/inherit.go
@@ -94,7 +94,7 @@
 
 // yieldLead makes the younger process the leading one; connections are then handed over to it.
 func (n *Node) yieldLead() {
-	if n.link == nil || !n.leading || !n.link.send(handover.Message{Kind: handover.KindActivate}) {
+	if n.link == nil || !n.leading || !n.link.send(handover.Message{Kind: handover.KindActivate, UsedIDs: n.table.UsedIDs(handover.MaxUsedIDs)}) {
 		return
 	}
 	n.log.Info("hands-over")
--- a/internal/net/processlink.go
+++ b/internal/net/processlink.go
@@ -149,6 +149,7 @@
 		case handover.KindActivate:
 			n.log.Info("takes-over")
 			n.leading = true
+			n.table.AddUsedIDs(m.UsedIDs)
 			n.table.StartAsSuccessor(now)
 		case handover.KindIdleClient:
 			s = n.inheritDownstream(now, m)
--- a/internal/request/attempt.go
+++ b/internal/request/attempt.go
@@ -14,7 +14,7 @@
 // beginAttempt starts an attempt. If it cannot be started, its outcome is queued.
 func (t *Table) beginAttempt(req *request, server string, timeout time.Duration) {
 	expiry := t.now + timeout
-	req.attemptOpen = true
+	req.attemptOpen, req.attemptWritten = true, false
 	t.counts.Add("attempts sent")
 	req.attemptDeadline = t.deadlines.Set(expiry, func(now time.Duration) { t.attemptTimedOut(now, req) })
 	if err := t.transport.Begin(req.owner, server, expiry); err != nil {
@@ -39,6 +39,7 @@
 	case !t.attemptAllowed(now, id):
 		t.counts.Add("attempts not written: no longer allowed")
 	default:
+		t.markWritten(id)
 		return 0, true
 	}
 	return policy.NotSent, false
@@ -49,6 +50,17 @@
 	return ok && req.attemptOpen && !req.answered && (req.midFlow || t.module.MayWrite(now, req.moduleID))
 }
 
+func (t *Table) markWritten(id slot.ID) {
+	if req, ok := t.requests.Get(id); ok {
+		req.attemptWritten = true
+	}
+}
+
+// neverRan reports whether an attempt with this result cannot have run, although it may have been written.
+func neverRan(result policy.Result) bool {
+	return result == policy.Rejected || result == policy.ConnectFailed || result == policy.NotSent
+}
+
 // Established records that the open attempt has established its connection.
 func (t *Table) Established(now time.Duration, id slot.ID) {
 	req, ok := t.requests.Get(id)
@@ -90,6 +102,7 @@
 	}
 	t.deadlines.Stop(req.attemptDeadline)
 	req.attemptOpen = false
+	req.mayHaveRun = req.mayHaveRun || req.attemptWritten && !neverRan(result)
 	if req.established {
 		t.counts.Add("connections ended: " + ResultNames[result])
 	} else {
--- a/internal/request/table.go
+++ b/internal/request/table.go
@@ -63,6 +63,7 @@
 	counts          counters.Set
 	requests        slot.Table[*request]
 	openByClientID  map[string]slot.ID           // requests that have a client's id
+	history         idHistory                    // ids of clients' requests that have ended and may have run
 	outcomes        map[string]counters.Outcomes // by class
 	pendingOutcomes []func(now time.Duration)    // outcomes of the module's own actions, not yet delivered to it
 	now             time.Duration                // the time of the current event
@@ -76,6 +77,8 @@
 	owner           slot.ID
 	attemptOpen     bool // an attempt, or the connection that it established, is open
 	established     bool
+	attemptWritten  bool // the first line of the open attempt was written
+	mayHaveRun      bool // an attempt that has ended was written, and not turned away
 	answered        bool // no answer is due any more: it was sent, or the client left
 	midFlow         bool // its connection was established before this balancer started
 	attemptDeadline *deadline.Deadline
@@ -83,7 +86,7 @@
 
 // New returns an empty table and creates its module.
 func New(newModule func(policy.Host) Module, transport Transport, deadlines *deadline.Queue, counts counters.Set) *Table {
-	t := &Table{transport: transport, deadlines: deadlines, counts: counts, openByClientID: map[string]slot.ID{},
+	t := &Table{transport: transport, deadlines: deadlines, counts: counts, openByClientID: map[string]slot.ID{}, history: newIDHistory(),
 		outcomes: map[string]counters.Outcomes{}}
 	t.module = newModule(moduleHost{t})
 	return t
@@ -120,13 +123,6 @@
 	return n
 }
 
-// IsOpen reports whether a request with this client id is open. Callers check it because the desk hosts refuse a second
-// request with an id that they already hold, and the module would take such refusals for faults of the hosts.
-func (t *Table) IsOpen(clientID string) bool {
-	_, ok := t.openByClientID[clientID]
-	return ok
-}
-
 func (t *Table) add(owner slot.ID, incoming policy.Request) *request {
 	req := &request{owner: owner, clientID: incoming.ID, class: incoming.Class}
 	req.id = t.requests.Add(req)
@@ -247,4 +243,7 @@
 	t.deadlines.Stop(req.attemptDeadline)
 	t.requests.Remove(req.id)
 	delete(t.openByClientID, req.clientID)
+	if req.clientID != "" && (req.mayHaveRun || req.established) {
+		t.history.add(hashID(req.clientID))
+	}
 }
