A connection to discovery that fails on this machine is no outage of discovery

What callers saw: nothing in service. A balancer that lacks descriptors, memory or ports for its connection to discovery went on by its old host list, and a new process served by that of its configuration.

Cause: such a connection is tried again until 20 ms before its limit; Watcher.Closed takes what fails before the limit for a refusal, which extends the lease.

Evidence: TestLocalFailureToReachDiscoveryIsNoOutage gets PONG of a new process before.

The mend: the discovery socket tells failures of this machine apart, as the sockets to hosts do, and the watcher counts them as connections that did not come up.

Not reproduced between processes.

--- a/internal/discovery/lease_test.go
+++ b/internal/discovery/lease_test.go
@@ -74,6 +74,10 @@
 		"a malformed answer": func(w *Watcher, now time.Duration) {
 			w.Received(now, w.lastNumber, []byte(response("200 OK", `{"revision":9}`)))
 		},
+		"a connection that this machine could not try": func(w *Watcher, now time.Duration) {
+			w.MoveTo(now, "elsewhere")
+			w.FailedLocally(now+10*ms, w.lastNumber)
+		},
 		"a connection that is not established": func(w *Watcher, now time.Duration) {
 			w.MoveTo(now, "elsewhere")
 			w.Closed(now+retryDialTimeout, w.lastNumber)
--- a/internal/net/dialfailure_test.go
+++ b/internal/net/dialfailure_test.go
@@ -149,3 +149,12 @@
 	assert.Nil(t, seen.probe)
 	assert.Zero(t, r.unavailableHosts())
 }
+
+// Guards against requests that are placed by an old list because this machine, not discovery, fails the connection: the
+// failure is no lease on the list, so a new process is not ready.
+func TestLocalFailureToReachDiscoveryIsNoOutage(t *testing.T) {
+	r := newRig(t)
+	r.settings["discovery"], r.settings["listwait"] = "subscribe", "20s"
+	r.discoveryDialError = localFailures["EMFILE"]
+	r.steps("wait count discovery calls failed 1+", "a connect", "a send PING", "a expect ERR")
+}
--- a/internal/net/rig_test.go
+++ b/internal/net/rig_test.go
@@ -41,6 +41,9 @@
 			return nil, err
 		}
 	}
+	if r.discoveryDialError != nil && !strings.Contains(r.known, address) {
+		return nil, r.discoveryDialError
+	}
 	return (&stdnet.Dialer{KeepAlive: -1}).DialContext(ctx, network, address)
 }
 
--- a/internal/net/scenario_test.go
+++ b/internal/net/scenario_test.go
@@ -53,26 +53,27 @@
 
 // rig runs the steps of a scenario or test on a node.
 type rig struct {
-	t              *testing.T
-	settings       map[string]string
-	node           *Node
-	peers          map[string]*peer
-	upstreams      chan stdnet.Conn
-	discoveryConns chan stdnet.Conn
-	exited         chan error
-	before         *rig // of the first node while there are two
-	folder         string
-	started        bool
-	source         *settings.Source
-	path           string // of the configuration file
-	address        string // of the node; kept here because the node's configuration belongs to its loop
-	admin          string // second address of the node, if settings turn it on
-	known          string // host list in the configuration
-	discoveryAddr  string // discovery address in the configuration file
-	paused         chan time.Duration
-	dialGate       atomic.Pointer[chan struct{}] // closed to let connections be established
-	log            logBuffer
-	dialError      func() error // error of a dial to a desk host, or nil; set before the start
+	t                  *testing.T
+	settings           map[string]string
+	node               *Node
+	peers              map[string]*peer
+	upstreams          chan stdnet.Conn
+	discoveryConns     chan stdnet.Conn
+	exited             chan error
+	before             *rig // of the first node while there are two
+	folder             string
+	started            bool
+	source             *settings.Source
+	path               string // of the configuration file
+	address            string // of the node; kept here because the node's configuration belongs to its loop
+	admin              string // second address of the node, if settings turn it on
+	known              string // host list in the configuration
+	discoveryAddr      string // discovery address in the configuration file
+	paused             chan time.Duration
+	dialGate           atomic.Pointer[chan struct{}] // closed to let connections be established
+	log                logBuffer
+	dialError          func() error // error of a dial to a desk host, or nil; set before the start
+	discoveryDialError error        // of all connections to discovery
 }
 
 func TestScenarios(t *testing.T) {
--- a/internal/net/watch.go
+++ b/internal/net/watch.go
@@ -112,6 +112,14 @@
 
 func (c *discoveryConn) detach(bool) { c.conn = nil }
 
+// failedLocally implements localFailureHandler.
+func (c *discoveryConn) failedLocally(now time.Duration) {
+	c.cancel()
+	if c.inUse() {
+		c.watch.watcher.FailedLocally(now, c.number)
+	}
+}
+
 func (c *discoveryConn) closed(now time.Duration, _ bool) {
 	c.cancel()
 	if c.inUse() {
