The next call for the list is made while the list may still be used

Cause: scheduleWatch waits for up to 4.5 s after a failed call, whatever is left of the lease. When the refused connection is seen the lease is over, and one that is over is not brought back.

The mend: the wait ends before the lease does, as long as there is one. Why it works: the refused connection then comes in time, and each one extends the lease to the next.

--- a/policy/list.go
+++ b/policy/list.go
@@ -148,6 +148,7 @@
 			max(retrySpread*time.Duration(b.settings.Siblings), notifiedWithin/10))
 		maxWait = min(backoff<<min(b.watchFailures, 5), max(limit, min(backoff, notifiedWithin*3/4)),
 			b.settings.MaxWatchInterval*7/10)
+		maxWait = b.withinLease(now, maxWait)
 		// From the second failure on the wait is at least half of maxWait, three quarters of it on average.
 		// In a large fleet, where maxWait is 4.5 s, this is about the average of a draw from 0 to 7 s.
 		minWait = maxWait / 2 * time.Duration(min(b.watchFailures-1, 1))
@@ -155,7 +156,18 @@
 	b.host.Wake(now+minWait+time.Duration(b.rng.Int64N(int64(maxWait-minWait)+1)), timerWatch)
 }
 
+// withinLease shortens a wait for the next call for the list so that the call is made while the list may
+// still be used. A call that shows that discovery is down then keeps it in use.
+func (b *Balancer) withinLease(now, wait time.Duration) time.Duration {
+	if left := b.leaseUntil - now - callMargin; b.leaseUntil > 0 && left > 0 {
+		return min(wait, left)
+	}
+	return wait
+}
+
 const (
+	// callMargin is the time before the end of the lease at which the latest call for the list is made.
+	callMargin = 300 * time.Millisecond
 	// firstCallSpread is the time per balancer over which a small fleet spreads the first calls of its
 	// processes.
 	firstCallSpread = 12 * time.Millisecond
--- a/policy/listcalls_test.go
+++ b/policy/listcalls_test.go
@@ -123,3 +123,21 @@
 		}
 	}
 }
+
+// Guards against a fleet that refuses its clients for as long as discovery is down, because its leases ended before it
+// had called again and seen that: after a failed call the next one is made while the lease lasts.
+func TestNextListCallIsMadeWithinTheLease(t *testing.T) {
+	for _, n := range []int{3, 300, 1024} {
+		for _, left := range []time.Duration{time.Second, 2 * time.Second, notifiedWithin} {
+			for _, b := range newSiblings(n, 0, fleet(10)) {
+				b.Lease(t0, t0+left)
+				for fails := range 3 {
+					if at := planCall(t, b, t0, WatchFailed).at; at > t0+left-callMargin {
+						t.Fatalf("%d siblings, failure %d: the next call is made %v after a lease of %v began", n, fails+1, at-t0, left)
+					}
+				}
+				b.Lease(t0, t0) // without a lease there is nothing to keep, and the calls are spread as before
+			}
+		}
+	}
+}
