Soak clients connect in one place, and the soak's tests share how seeds are played

Change: world.connectClient and playSeeds. The tests' seeds, assertions and bounds are the same; the first soak test keeps its own loop, as it prints what only the strict reading breaks. The program that the process tests build is removed at their end.

--- a/cmd/tealtiller/deployment_test.go
+++ b/cmd/tealtiller/deployment_test.go
@@ -82,12 +82,15 @@
 	return l.Addr().String()
 }
 
-var buildOnce = sync.OnceValues(func() (string, error) {
-	folder, err := os.MkdirTemp("", "tealtiller-test-")
-	if err != nil {
+// buildFolder has the program that buildOnce built; TestMain removes it.
+var buildFolder string
+
+// buildOnce builds the program as the deploy file does, and returns its path.
+var buildOnce = sync.OnceValues(func() (path string, err error) {
+	if buildFolder, err = os.MkdirTemp("", "tealtiller-test-"); err != nil {
 		return "", err
 	}
-	path := filepath.Join(folder, "tealtiller")
+	path = filepath.Join(buildFolder, "tealtiller")
 	build := exec.Command("go", "build", "-ldflags=-linkmode=external", "-o", path, ".")
 	if out, err := build.CombinedOutput(); err != nil {
 		return "", fmt.Errorf("%w: %s", err, out)
--- a/cmd/tealtiller/signals_test.go
+++ b/cmd/tealtiller/signals_test.go
@@ -23,7 +23,9 @@
 		main()
 		return
 	}
-	os.Exit(m.Run())
+	code := m.Run()
+	_ = os.RemoveAll(buildFolder)
+	os.Exit(code)
 }
 
 // configuration writes the configuration of a balancer whose discovery does not answer.
--- a/cmd/tealtiller/soak_test.go
+++ b/cmd/tealtiller/soak_test.go
@@ -74,46 +74,39 @@
 // Drawn runs that violated the drain rule, read strictly, while a list was used whatever its age: slow first calls to
 // discovery, also of a restarted process, and consecutive calls without an answer.
 func TestSoakReadStrictly(t *testing.T) {
-	for _, seed := range []uint64{8849, 9905, 9919} {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			t.Parallel()
-			result := playOnProcesses(t, soak.Draw(seed))
-			for _, b := range result.Violations {
-				t.Error(b)
-			}
-			assert.Greater(t, result.Answers["UP"], 80, "requests served")
-		})
-	}
+	playSeeds(t, soak.Draw, []uint64{8849, 9905, 9919}, func(t *testing.T, result *soak.Result) {
+		assert.Greater(t, result.Answers["UP"], 80, "requests served")
+	})
 }
 
 // Runs with rare combinations of events: connections established while their host drains, bursts of leaving clients
 // while their balancer is stopped, all hosts hanging during a shutdown. docs/soak.md describes what they find when
 // the protecting code is removed.
 func TestSoakCrossings(t *testing.T) {
-	for _, seed := range []uint64{300, 302} {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			t.Parallel()
-			result := playOnProcesses(t, soak.DrawCrossings(seed))
-			for _, b := range result.Violations {
-				t.Error(b)
-			}
-			assert.Greater(t, result.Attempts, 80, "attempts judged")
-		})
-	}
+	playSeeds(t, soak.DrawCrossings, []uint64{300, 302}, func(t *testing.T, result *soak.Result) {
+		assert.Greater(t, result.Attempts, 80, "attempts judged")
+	})
 }
 
 // Runs in which established connections end in many ways: clients that end their sending and wait for the answer to their
 // last line, many of them at a planned restart, were cut off; hosts' answers that never end left clients connected to
 // nothing.
 func TestSoakEndings(t *testing.T) {
-	for _, seed := range []uint64{504, 505} {
+	playSeeds(t, soak.DrawEndings, []uint64{504, 505}, func(t *testing.T, result *soak.Result) {
+		assert.Greater(t, result.Lines, 1000, "lines answered on established connections")
+	})
+}
+
+// playSeeds plays a drawn run for each seed, in which no rule may be broken, and has it checked that enough happened.
+func playSeeds(t *testing.T, draw func(seed uint64) *soak.Script, seeds []uint64, checkPlayed func(*testing.T, *soak.Result)) {
+	for _, seed := range seeds {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
-			result := playOnProcesses(t, soak.DrawEndings(seed))
-			for _, b := range result.Violations {
-				t.Error(b)
+			result := playOnProcesses(t, draw(seed))
+			for _, violation := range result.Violations {
+				t.Error(violation)
 			}
-			assert.Greater(t, result.Lines, 1000, "lines answered on established connections")
+			checkPlayed(t, result)
 		})
 	}
 }
--- a/internal/lab/soak/client.go
+++ b/internal/lab/soak/client.go
@@ -33,19 +33,28 @@
 	return n.inRotation
 }
 
-// runIdleClient connects, waits, and sends its request later, whatever has happened to the balancer in between.
-func (w *world) runIdleClient(index int, idle IdleClient) {
-	n := w.nodes[idle.Balancer]
+// connectClient connects a client to a balancer, as the front does, and records its request, which it sends at a time of
+// the script. The connection is nil if the front gives the balancer no clients, or if it fails.
+func (w *world) connectClient(balancer int, id string, key uint64, requestAt time.Duration) (net.Conn, *requestRecord) {
+	n := w.nodes[balancer]
 	if !n.acceptsClients() {
-		return
+		return nil, nil
 	}
 	c, err := net.DialTimeout("tcp", n.listen, time.Second)
 	if err != nil {
+		return nil, nil
+	}
+	script := drainsearch.Request{At: requestAt, Balancer: balancer, Key: key, TTL: w.script.Deadline, Class: "safe"}
+	return c, w.newRequest(n, id, script)
+}
+
+// runIdleClient connects, waits, and sends its request later, whatever has happened to the balancer in between.
+func (w *world) runIdleClient(index int, idle IdleClient) {
+	c, q := w.connectClient(idle.Balancer, fmt.Sprintf("rest%d", index), uint64(index), idle.At+idle.RequestAfter)
+	if c == nil {
 		return
 	}
 	defer c.Close()
-	script := drainsearch.Request{At: idle.At + idle.RequestAfter, Balancer: idle.Balancer, Key: uint64(index), TTL: w.script.Deadline, Class: "safe"}
-	q := w.newRequest(n, fmt.Sprintf("rest%d", index), script)
 	r := bufio.NewReader(c)
 	_ = c.SetReadDeadline(time.Now().Add(idle.RequestAfter))
 	if _, err := r.Peek(1); !timedOut(err) { // the balancer sent a line or closed the connection
--- a/internal/lab/soak/ending_client.go
+++ b/internal/lab/soak/ending_client.go
@@ -7,23 +7,15 @@
 	"net"
 	"strings"
 	"time"
-
-	"tealtiller/internal/lab/drainsearch"
 )
 
 // runEndingClient connects, uses its connection, and ends its sending after a last line.
 func (w *world) runEndingClient(index int, client EndingClient) {
-	n := w.nodes[client.Balancer]
-	if !n.acceptsClients() {
-		return
-	}
-	c, err := net.DialTimeout("tcp", n.listen, time.Second)
-	if err != nil {
+	c, q := w.connectClient(client.Balancer, fmt.Sprintf("end%d", index), uint64(index), client.At)
+	if c == nil {
 		return
 	}
 	defer c.Close()
-	script := drainsearch.Request{At: client.At, Balancer: client.Balancer, Key: uint64(index), TTL: w.script.Deadline, Class: "safe"}
-	q := w.newRequest(n, fmt.Sprintf("end%d", index), script)
 	q.sendingEndsAt = start + client.At + client.EndAfter
 	w.sendRequest(c, q)
 }
