A socket that is reset on its way in a takeover ends the other side of its connection

With the sides changed the desk host keeps a connection for nobody.

Cause: such a socket has no remote address any more when the new process takes it out of its message; gnet's task that enrols it panics, and closes its channel without a result. Node.enroll took that for success, so nothing was called for the socket, and two descriptors stayed counted.

Evidence: TestInheritedSocketWasReset, one case for each side, waits 20 s for nothing on the code before.

The mend: enrollInherited takes a connection without a remote address for one that was reset, and enroll a channel without a result for a failure; dialFailed then ends the other side in kind, also if that is enrolled later. Why it works: each socket of a message now ends in opened or in closed.

--- a/internal/net/dial.go
+++ b/internal/net/dial.go
@@ -67,10 +67,17 @@
 			h.failedLocally(now)
 			return
 		}
-		s.closed(now, false)
+		s.closed(now, errors.Is(cause, errPeerReset))
 	})
 }
 
+var (
+	// errPeerReset means that the peer has reset the connection before it was on the loop.
+	errPeerReset = errors.New("connection reset before it was enrolled")
+	// errNotEnrolled means that gnet has given up a connection without an error.
+	errNotEnrolled = errors.New("connection was not enrolled")
+)
+
 // enroll hands a connection to the loop, which calls the socket's opened. The loop gets a duplicate descriptor; a
 // goroutine closes ours before it closes the channel, and may lag behind when dozens of connections come at once.
 func (n *Node) enroll(s socket, c stdnet.Conn) error {
@@ -79,6 +86,7 @@
 		_ = c.Close()
 		return err
 	}
+	err = errNotEnrolled
 	for result := range done { // a failure here, such as for want of a descriptor, is reported nowhere else
 		err = result.Err
 	}
@@ -87,3 +95,13 @@
 	}
 	return err
 }
+
+// enrollInherited hands a connection from another process to the loop, unless its peer has reset it on the way: it has no
+// remote address then, which makes gnet's task panic.
+func (n *Node) enrollInherited(s socket, c stdnet.Conn) error {
+	if c.RemoteAddr() == nil {
+		_ = c.Close()
+		return errPeerReset
+	}
+	return n.enroll(s, c)
+}
--- a/internal/net/inherit_test.go
+++ b/internal/net/inherit_test.go
@@ -85,3 +85,37 @@
 	r.node.dialFailed(sockets[1], syscall.EMFILE)
 	r.steps("a expect MOVE", "a wait fin")
 }
+
+// viaMessage returns a connection as it comes out of a message of the other process.
+func viaMessage(t *testing.T, c stdnet.Conn) stdnet.Conn {
+	file, err := c.(*stdnet.TCPConn).File()
+	require.NoError(t, err)
+	defer file.Close()
+	require.NoError(t, c.Close())
+	received, err := stdnet.FileConn(file)
+	require.NoError(t, err)
+	return received
+}
+
+// Guards against a client that stays connected to nothing, or a desk host that keeps a connection for nobody, because the
+// other side was reset on its way from the process before: that side's end is passed on.
+func TestInheritedSocketWasReset(t *testing.T) {
+	for name, c := range map[string]struct{ resetPeer, otherPeer, ended string }{
+		"the desk host's": {"d reset", "a wait reset", "wait count standing connections ended by desk hosts 1"},
+		"the client's":    {"a reset", "d wait reset", "wait count clients gone from standing connections 1"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t)
+			sockets, conns := r.inheritConnection()
+			r.steps(c.resetPeer)
+			for i, s := range sockets {
+				conn := viaMessage(t, conns[i])
+				if err := r.node.enrollInherited(s, conn); err != nil {
+					r.node.dialFailed(s, err)
+				}
+			}
+			r.steps(c.otherPeer, c.ended)
+			r.onLoop(func(time.Duration) { require.Zero(t, r.node.dialling) })
+		})
+	}
+}
--- a/internal/net/processlink.go
+++ b/internal/net/processlink.go
@@ -160,7 +160,7 @@
 		sockets <- s
 	})
 	for i, s := range <-sockets {
-		if err := n.enroll(s, conns[i]); err != nil {
+		if err := n.enrollInherited(s, conns[i]); err != nil {
 			n.dialFailed(s, err)
 		}
 	}
--- a/internal/net/upstream.go
+++ b/internal/net/upstream.go
@@ -26,6 +26,7 @@
 	up              bool
 	upAt            time.Duration
 	ended           bool          // the outcome was reported
+	endedByReset    bool          // the desk host's side ends by a reset
 	endResult       policy.Result // outcome if the connection ends now
 	unansweredSince time.Duration // when the oldest unanswered client line was forwarded; 0 if none
 	lastReadAt      time.Duration // when data last arrived
@@ -37,6 +38,9 @@
 	u.cancel()
 	u.conn = c
 	if u.ended {
+		if u.endedByReset {
+			_ = c.SetLinger(0)
+		}
 		return gnet.Close
 	}
 	if u.up { // inherited from another process
@@ -137,7 +141,7 @@
 
 // abort closes the socket without reporting an outcome.
 func (u *upstream) abort(reset bool) {
-	u.ended = true
+	u.ended, u.endedByReset = true, reset
 	u.cancel()
 	u.node.deadlines.Stop(u.answerCheck)
 	u.node.upstreams.Remove(u.id)
