A client's last line in the midst of a takeover reaches its desk host

Cause: the sockets of a connection come on the loop one after the other. With the desk host's not there yet, downstream.closed took the end of the client's sending for a client that has gone, closed the desk host's side and dropped what had been read.

Evidence: TestClientEndsItsSendingBeforeItsHostIsEnrolled forces that order and fails before.

The mend: the client's side waits, half closed; upstream.inheritedOpened passes on what waits, and then the end of the sending. Why it works: the desk host's socket always ends in opened or in closed, and each ends the client's side.

--- a/internal/net/clientend.go
+++ b/internal/net/clientend.go
@@ -53,16 +53,25 @@
 	case u == nil || !u.up:
 		d.node.counters.Add("clients gone before their answer")
 		d.node.table.ClientLeft(now, d.request)
-	case d.awaitsLastLines() && u.conn != nil:
+	case d.awaitsLastLines():
 		d.node.counters.Add("clients that ended their sending")
-		d.node.deadlines.Stop(u.answerCheck)
-		u.endSendingWhenFlushed(now, now+d.node.lineTimeout)
+		if u.conn != nil { // else it is still being enrolled, or is about to be reported as closed
+			d.finishSending(now)
+		}
 	default:
 		d.node.counters.Add("clients gone from standing connections")
 		u.close(now, reset, policy.Cancelled)
 	}
 }
 
+// finishSending passes on what the client sent before it ended its sending, and that end.
+func (d *downstream) finishSending(now time.Duration) {
+	u := d.upstream
+	d.relay(now)
+	d.node.deadlines.Stop(u.answerCheck)
+	u.endSendingWhenFlushed(now, now+d.node.lineTimeout)
+}
+
 // endSendingWhenFlushed passes the end of the client's sending on to the desk host once all that is buffered for it is
 // written, and gives it lingerTimeout for its last lines. The client is moved if the desk host has not read everything by
 // latest, or is silent.
--- a/internal/net/inherit_test.go
+++ b/internal/net/inherit_test.go
@@ -119,3 +119,14 @@
 		})
 	}
 }
+
+// Guards against a last line that is lost, and a client that gets the bare end, as it ends its sending before the socket
+// to its desk host has come from the process before.
+func TestClientEndsItsSendingBeforeItsHostIsEnrolled(t *testing.T) {
+	r := newRig(t)
+	sockets, conns := r.inheritConnection()
+	require.NoError(t, r.node.enrollInherited(sockets[0], conns[0]))
+	r.steps("a send last", "a half", "wait count clients that ended their sending 1")
+	require.NoError(t, r.node.enrollInherited(sockets[1], conns[1]))
+	r.steps("d expect last", "d wait fin", "d send answer\\r\\nBYE", "d close", "a expect answer", "a expect BYE", "a wait fin")
+}
--- a/internal/net/upstream.go
+++ b/internal/net/upstream.go
@@ -44,8 +44,7 @@
 		return gnet.Close
 	}
 	if u.up { // inherited from another process
-		u.traffic(now)
-		u.downstream.traffic(now)
+		u.inheritedOpened(now)
 		return gnet.None
 	}
 	if result, ok := u.writable(now); !ok {
@@ -64,6 +63,18 @@
 	return gnet.None
 }
 
+// inheritedOpened relays what arrived on both sides before this socket was on the loop.
+func (u *upstream) inheritedOpened(now time.Duration) {
+	u.traffic(now)
+	switch d := u.downstream; {
+	case u.ended:
+	case d.awaitsLastLines():
+		d.finishSending(now)
+	default:
+		d.traffic(now)
+	}
+}
+
 // writable is called just before the OPEN line is written, since the dial took time. If the line must not be written
 // any more, it returns the result of the attempt.
 func (u *upstream) writable(now time.Duration) (result policy.Result, ok bool) {
