The wait for an answer goes on in a takeover

Cause: the message that hands a connection over did not tell that a line waits; and the new process took the arrival of a socket for data from its desk host.

Evidence: TestWaitForAnAnswerGoesOnInATakeover has no MOVE in 20 s before.

The mend: the message's number, which older versions ignore for this kind, has the milliseconds for which a line has been unanswered, and the check goes on from there.

Measured: the test has MOVE after 1.00 s with 2.5 of 3.5 s of the wait over.

--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -26,8 +26,10 @@
 
 // Message is a message; which fields it uses depends on its kind.
 type Message struct {
-	Kind     Kind
-	Number   int    // KindDescriptorLimit: descriptors; KindIdleClient: milliseconds of the client's silence
+	Kind Kind
+	// KindDescriptorLimit: descriptors. KindIdleClient: milliseconds of the client's silence. KindEstablished: for how many
+	// milliseconds a line of the client has been unanswered; older versions ignore that.
+	Number   int
 	Server   string // KindEstablished: the desk host
 	OpenLine []byte // KindEstablished: the client's OPEN line as received
 	// Bytes that were read from the client's or the desk host's socket and not relayed yet.
--- a/internal/net/delay.go
+++ b/internal/net/delay.go
@@ -103,7 +103,8 @@
 				status.report.openedSince++
 			}
 			if u.unansweredSince > status.lastReadAt {
-				status.unansweredFor = max(status.unansweredFor, now-u.unansweredSince)
+				// Whether the host has answered others meanwhile is not known of the time in another process.
+				status.unansweredFor = max(status.unansweredFor, now-max(u.unansweredSince, u.upAt))
 			}
 		}
 	}
--- a/internal/net/established.go
+++ b/internal/net/established.go
@@ -62,6 +62,24 @@
 	}
 }
 
+// unansweredFor is how long a client's line has been unanswered; 0 if none is.
+func (u *upstream) unansweredFor(now time.Duration) time.Duration {
+	if u.unansweredSince == 0 {
+		return 0
+	}
+	return now - u.unansweredSince
+}
+
+// inheritUnanswered continues the line timeout of a connection from another process, where a line has been unanswered for
+// a time. A check follows at the earliest after checkInterval, by when its sockets are here.
+func (u *upstream) inheritUnanswered(now, unansweredFor time.Duration) {
+	if unansweredFor <= 0 {
+		return
+	}
+	u.unansweredSince = now - min(unansweredFor, maxLineTimeout)
+	u.answerCheck = u.node.deadlines.Set(now+checkInterval, u.checkUnanswered)
+}
+
 // checkUnanswered moves the client if its line has been unanswered for too long, and checks again later otherwise.
 func (u *upstream) checkUnanswered(now time.Duration) {
 	since, timeout := max(u.unansweredSince, u.lastReadAt), u.node.lineTimeout
--- a/internal/net/inherit.go
+++ b/internal/net/inherit.go
@@ -33,6 +33,7 @@
 	u.pending = m.FromHost
 	u.id = n.upstreams.Add(u)
 	d.upstream = u
+	u.inheritUnanswered(now, time.Duration(m.Number)*time.Millisecond)
 	n.delays.host(u.server).newConnections = true
 	d.request = n.table.Inherit(now, d.id, n.policyRequest(o), u.server)
 	return []socket{d, u}
@@ -65,8 +66,8 @@
 		}
 		n.counters.Add("client connections passed on")
 	case u != nil && u.up && u.conn != nil && u.conn.OutboundBuffered() == 0:
-		m := handover.Message{Kind: handover.KindEstablished, Server: u.server, OpenLine: d.opening.Raw(), FromClient: unread,
-			FromHost: bytes.Clone(u.peek())}
+		m := handover.Message{Kind: handover.KindEstablished, Number: int(u.unansweredFor(now).Milliseconds()), Server: u.server,
+			OpenLine: d.opening.Raw(), FromClient: unread, FromHost: bytes.Clone(u.peek())}
 		if !n.link.send(m, d.conn, u.conn) {
 			return false
 		}
--- a/internal/net/inherit_test.go
+++ b/internal/net/inherit_test.go
@@ -43,6 +43,11 @@
 // inheritConnection has the rig's node take over an established connection between the peers a and d, whose sockets are
 // not on the loop yet.
 func (r *rig) inheritConnection() (sockets []socket, conns []stdnet.Conn) {
+	return r.inheritUnanswered(0)
+}
+
+// inheritUnanswered is inheritConnection where a line of the client has been unanswered for a time.
+func (r *rig) inheritUnanswered(unansweredFor time.Duration) (sockets []socket, conns []stdnet.Conn) {
 	r.t.Helper()
 	r.steps("first connect")
 	listener, err := stdnet.Listen("tcp", "127.0.0.1:0")
@@ -56,7 +61,7 @@
 		conns = append(conns, c)
 	}
 	r.onLoop(func(now time.Duration) {
-		m := handover.Message{Kind: handover.KindEstablished, Server: "s-0", OpenLine: []byte("OPEN 1 a c=lookup,d=4000\r\n")}
+		m := handover.Message{Kind: handover.KindEstablished, Number: int(unansweredFor.Milliseconds()), Server: "s-0", OpenLine: []byte("OPEN 1 a c=lookup,d=4000\r\n")}
 		sockets = r.node.inheritEstablished(now, m)
 		r.node.dialling += len(sockets)
 	})
@@ -130,3 +135,16 @@
 	require.NoError(t, r.node.enrollInherited(sockets[1], conns[1]))
 	r.steps("d expect last", "d wait fin", "d send answer\\r\\nBYE", "d close", "a expect answer", "a expect BYE", "a wait fin")
 }
+
+// Guards against a client that waits too long at a desk host that hangs, because the new process counts its wait anew, or
+// does not know of the line at all.
+func TestWaitForAnAnswerGoesOnInATakeover(t *testing.T) {
+	r := newRig(t)
+	sockets, conns := r.inheritUnanswered(defaultLineTimeout - time.Second)
+	begin := time.Now()
+	for i, s := range sockets {
+		require.NoError(t, r.node.enrollInherited(s, conns[i]))
+	}
+	r.steps("a expect MOVE", "a wait fin")
+	require.Less(t, time.Since(begin), defaultLineTimeout)
+}
--- a/internal/net/upstream.go
+++ b/internal/net/upstream.go
@@ -65,7 +65,9 @@
 
 // inheritedOpened relays what arrived on both sides before this socket was on the loop.
 func (u *upstream) inheritedOpened(now time.Duration) {
-	u.traffic(now)
+	if u.buffered() > 0 {
+		u.traffic(now)
+	}
 	switch d := u.downstream; {
 	case u.ended:
 	case d.awaitsLastLines():
