A server that another cell hands over before the first list is not forgotten

Cause: forgetUnlisted took any server that no list of this instance had named; one that AddServer brought is in the list too.

The mend: only a server that is out of service as well is dropped.

--- a/policy/changes_test.go
+++ b/policy/changes_test.go
@@ -162,3 +162,14 @@
 		t.Error("a server with a connection is forgotten")
 	}
 }
+
+// A server that another instance hands over before the first list is no made-up one: it stays known.
+func TestAddedServerStaysKnownWithoutAList(t *testing.T) {
+	b := New(settings(), 1, &fakeHost{})
+	b.AddServer(t0, fleet(1)[0])
+	b.Inherit(t0, newRequest("q", 1), b.list[0].ID)
+	b.Outcome(t0, "q", Reset, true)
+	if b.servers[b.list[0].ID] != b.list[0] {
+		t.Error("a listed server is forgotten")
+	}
+}
--- a/policy/list.go
+++ b/policy/list.go
@@ -106,7 +106,7 @@
 // forgetUnlisted drops a server that no list has named, only a request of a client, once it has no
 // connections.
 func (b *Balancer) forgetUnlisted(s *server) {
-	if s.listedIn == 0 && len(s.connections) == 0 && b.servers[s.ID] == s {
+	if s.listedIn == 0 && s.State == Gone && len(s.connections) == 0 && b.servers[s.ID] == s {
 		delete(b.servers, s.ID)
 	}
 }
