--- a/internal/net/scenario_test.go
+++ b/internal/net/scenario_test.go
@@ -46,6 +46,7 @@
 //	reload TEXT             reloads with this text as the configuration
 //	wait exit               waits until the node has ended
 //	wait left N             waits until the node may open N more descriptors
+//	wait unread N           waits until the node has read N bytes of clients' incomplete lines
 //	wait count NAME N       waits until a counter of the node is N, or with N+ at least N
 //
 // Every read is limited to stepTimeout, so a step that never completes fails; no step sleeps.
@@ -156,6 +157,8 @@
 		return r.withTimeout(func() error { return <-r.exited })
 	case who == "wait" && verb == "left":
 		return r.waitForValue(text, func() int64 { return int64(r.node.descriptorsLeft()) })
+	case who == "wait" && verb == "unread":
+		return r.waitForValue(text, r.node.unreadBytes)
 	case who == "wait":
 		i := strings.LastIndex(text, " ")
 		return r.waitForValue(text[i+1:], func() int64 { return r.node.counters[text[:i]] })
@@ -217,3 +220,11 @@
 		return nil
 	})
 }
+
+// unreadBytes returns how much the node has read of lines that its clients have not completed.
+func (n *Node) unreadBytes() (total int64) {
+	for _, d := range n.downstreams.All() {
+		total += int64(len(d.pending))
+	}
+	return total
+}
