At its drain deadline a process that hands over answers or moves clients it still holds

Cause: drainFinished returned what handOverAll said before it looked at the drain deadline, so a process with a successor never answered what it could not hand over, and waited for it until it was killed. Going through all that passOn leaves behind, in both modes: requests without an answer, connections with output that a peer does not read, clients that have ended their sending and wait for last lines, and sockets in messages that the new process does not read.

Change: the handover has the deadline of any drain. Then dismissRemaining answers with ERR and moves what is left, and the process ends through closeRemaining, as without a successor. Writes to the other process have a time limit; where it is over, clients get their fallback line. A request that comes later is refused. A process of mode pass that is joined long after its deadline gets a new one. A log line, not-handed-over, says how much was left.

passOn and what ends a handover moved from inherit.go to handover.go, the listener's part of drain.go to listener.go.

The new tests fail with their part taken out: with the deadline the process still holds its clients after 10 s in all six cases of TestHandoverEndsBeforeKill (0.75 to 3.55 s are allowed), without the write limit TestHandoverToAProcessThatDoesNotRead does not end within 20 s, and without the refusal TestRequestAfterTheHandoverDeadlineIsRefused gets ERR after an attempt. drain_test.go begins its drains by the node's own beginDrain now; its bounds are unchanged.

--- a/internal/net/drain.go
+++ b/internal/net/drain.go
@@ -1,11 +1,8 @@
 package net
 
 import (
-	"syscall"
 	"time"
 
-	"golang.org/x/sys/unix"
-
 	"tealtiller/internal/line"
 	"tealtiller/policy"
 )
@@ -32,13 +29,19 @@
 		if n.draining {
 			return
 		}
-		n.draining, n.lastOpenAt = true, max(n.lastOpenAt, now)
 		n.log.Info("draining", "operations", n.table.Len())
-		n.yieldLead()
-		n.checkDrain(now, n.drainDeadline(now))
+		n.checkDrain(now, n.beginDrain(now))
 	})
 }
 
+// beginDrain starts a drain, and returns its deadline.
+func (n *Node) beginDrain(now time.Duration) (latest time.Duration) {
+	latest = n.drainDeadline(now)
+	n.draining, n.lastOpenAt, n.handoverDeadline = true, max(n.lastOpenAt, now), latest
+	n.beginHandover(now)
+	return latest
+}
+
 // drainDeadline is the time until which accepted requests may be served.
 func (n *Node) drainDeadline(now time.Duration) time.Duration {
 	return now + min(n.cfg.Settings.MaxDeadline, maxDrainWait) + drainAnswerTime
@@ -106,9 +109,12 @@
 
 // pastDrainDeadline reports whether a request comes too late to be started. Where packets pass through, a drain
 // continues after its deadline but may be killed at any moment, and requests accepted then would be lost. Requests of
-// open connections are still relayed.
+// open connections are still relayed, unless another process serves them.
 func (n *Node) pastDrainDeadline(o line.OpenRequest) bool {
-	return n.drainDeadlinePassed && n.leading && n.cfg.Settings.PassThrough && !o.MidFlow && o.HostID == ""
+	if !n.leading {
+		return n.drainDeadlinePassed
+	}
+	return n.drainDeadlinePassed && n.cfg.Settings.PassThrough && !o.MidFlow && o.HostID == ""
 }
 
 // dismissIdle refuses idle clients. Where packets pass through, the process may be killed at any moment from now on,
@@ -141,13 +147,7 @@
 // connection may arrive at that very moment; so new handshakes are blocked, handshakes in progress are accepted, and
 // unread data is read before the listener is closed.
 func (n *Node) closeRemaining(now, latest time.Duration) bool {
-	if n.closingSince == 0 {
-		n.closingSince, n.closeDeadline = now, now+maxFinalClose
-		if !n.cfg.Settings.PassThrough { // the process is killed soon after the deadline
-			n.closeDeadline = min(n.closeDeadline, latest+3*drainCheckInterval)
-		}
-		n.allowHandshakes(false)
-	}
+	n.beginClosing(now, latest)
 	for _, d := range n.downstreams.All() {
 		d.closeIdle(now, n.busyLine(0))
 	}
@@ -162,41 +162,20 @@
 	return !waiting && n.closeListener()
 }
 
-// resumeHandshakes allows new connections again: a request arrived at the last moment and is being served.
-func (n *Node) resumeHandshakes() {
+// beginClosing blocks new handshakes, and sets the time by which the remaining clients have to leave.
+func (n *Node) beginClosing(now, latest time.Duration) {
 	if n.closingSince > 0 {
-		n.closingSince = 0
-		n.allowHandshakes(true)
-	}
-}
-
-// allowHandshakes turns new connections at our listener on or off. When they are off, a socket filter drops SYN
-// packets; a client that repeats its SYN a second later finds no listener. Packets of handshakes in progress pass. If
-// the system refuses the filter, the accept queue is still checked before the listener is closed.
-func (n *Node) allowHandshakes(allow bool) {
-	fd, err := n.engine.DupListener("tcp", n.cfg.ListenAddr)
-	if err != nil {
 		return
 	}
-	defer syscall.Close(fd)
-	if allow {
-		_ = unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_DETACH_FILTER, 0)
-		return
+	n.closingSince, n.closeDeadline = now, now+maxFinalClose
+	lastCheck := latest + 3*drainCheckInterval // the process is killed soon after the deadline
+	switch {
+	case !n.leading: // clients may still be handed over until then
+		n.closeDeadline = lastCheck
+	case !n.cfg.Settings.PassThrough:
+		n.closeDeadline = min(n.closeDeadline, lastCheck)
 	}
-	const (
-		flags = 13 // offset of the flags byte in the TCP header
-		syn   = 2
-		ack   = 16
-	)
-	filter := []unix.SockFilter{
-		{Code: unix.BPF_LD | unix.BPF_B | unix.BPF_ABS, K: flags},
-		{Code: unix.BPF_ALU | unix.BPF_AND | unix.BPF_K, K: syn | ack},
-		{Code: unix.BPF_JMP | unix.BPF_JEQ | unix.BPF_K, Jf: 1, K: syn},
-		{Code: unix.BPF_RET | unix.BPF_K, K: 0},
-		{Code: unix.BPF_RET | unix.BPF_K, K: 1 << 18},
-	}
-	_ = unix.SetsockoptSockFprog(fd, unix.SOL_SOCKET, unix.SO_ATTACH_FILTER,
-		&unix.SockFprog{Len: uint16(len(filter)), Filter: &filter[0]})
+	n.allowHandshakes(false)
 }
 
 // stoppedServing reports whether the process is about to end.
--- a/internal/net/drain_test.go
+++ b/internal/net/drain_test.go
@@ -21,8 +21,7 @@
 func (r *rig) drain() (took time.Duration) {
 	r.onLoop(func(now time.Duration) {
 		n := r.node
-		n.draining, n.lastOpenAt = true, now
-		latest := n.drainDeadline(now)
+		latest := n.beginDrain(now)
 		for !n.drainFinished(now+took, latest) && took < 10*time.Second {
 			took += drainCheckInterval
 		}
--- a/internal/net/node.go
+++ b/internal/net/node.go
@@ -88,6 +88,7 @@
 	draining            bool
 	closingSince        time.Duration // when idle clients were dismissed; 0 before that
 	closeDeadline       time.Duration // when the remaining connections are closed
+	handoverDeadline    time.Duration // when a drain with another process must be over
 	drainDeadlinePassed bool          // the drain deadline has expired and pending requests were answered
 	lastOpenAt          time.Duration // when the last OPEN arrived
 	stopped             chan struct{} // closed when the process may end
--- a/internal/net/processlink.go
+++ b/internal/net/processlink.go
@@ -64,6 +64,12 @@
 	}
 }
 
+// limitWrites has messages that are not written in time fail; their clients then get their last lines from this process.
+// Without a limit, another process that does not read would keep this one, and its clients, until it is killed.
+func (l *processLink) limitWrites(remaining time.Duration) {
+	_ = l.conn.SetWriteDeadline(time.Now().Add(remaining)) // fails only if the link is closed
+}
+
 func (l *processLink) write() {
 	defer close(l.flushed)
 	defer l.conn.Close()
--- a/internal/net/successor.go
+++ b/internal/net/successor.go
@@ -98,13 +98,13 @@
 		case err != nil:
 			time.Sleep(acceptRetryInterval)
 		default:
-			n.post(func(time.Duration) { n.successorConnected(c) })
+			n.post(func(now time.Duration) { n.successorConnected(now, c) })
 		}
 	}
 }
 
 // successorConnected links a new process, unless there is one already.
-func (n *Node) successorConnected(c *stdnet.UnixConn) {
+func (n *Node) successorConnected(now time.Duration, c *stdnet.UnixConn) {
 	if n.link != nil || n.stoppedServing() {
 		_ = c.Close()
 		return
@@ -113,6 +113,6 @@
 	n.attachLink(&processLink{node: n, conn: c, older: true})
 	n.grantDescriptors(followerDescriptors)
 	if n.draining { // stopped before the successor connected: hand over at once
-		n.yieldLead()
+		n.beginHandover(now)
 	}
 }
