A client passed to a process that has just ended is refused, not cut off

Cause: while two processes run, the one that does not lead passes each new client on to the other.

Change: the process closes its direction of the link only, and reads on until the other one has ended too, with the handover's deadline as limit. Clients that come meanwhile, or whose OPEN line cannot be parsed, get the fallback line, by the same function as those whose message cannot be written.

--- a/internal/net/handover.go
+++ b/internal/net/handover.go
@@ -72,8 +72,8 @@
 	n.leading = false
 }
 
-// handoverFlushTime is how long after the drain deadline messages to the other process may still be written. It lies
-// within the last checks of the drain (see beginClosing).
+// handoverFlushTime is how long after the drain deadline messages between the processes may still be written and read. It
+// lies within the last checks of the drain (see beginClosing).
 const handoverFlushTime = 2 * drainCheckInterval
 
 // beginHandover starts handing over to the other process in a drain, if there is one. All is handed over by the drain
@@ -86,7 +86,7 @@
 	if now >= n.handoverDeadline {
 		n.handoverDeadline = n.drainDeadline(now)
 	}
-	n.link.limitWrites(n.handoverDeadline + handoverFlushTime - now)
+	n.link.limitTo(n.handoverDeadline + handoverFlushTime - now)
 }
 
 // handOverAll passes on all connections that it can, and reports whether this process may end: when all are passed on
--- a/internal/net/handover_test.go
+++ b/internal/net/handover_test.go
@@ -147,3 +147,34 @@
 	})
 	r.steps("blocked expect MOVE", "blocked wait fin")
 }
+
+// Guards against a client that is cut off without a line, because the other process has passed it on to one that has just
+// ended: its socket was left unread in the link.
+func TestClientPassedToAProcessThatEnds(t *testing.T) {
+	r := newRig(t)
+	r.steps("first connect")
+	c, other := r.linkTo()
+	r.onLoop(func(now time.Duration) { r.node.successorConnected(now, c) })
+	r.steps("first close", "stop")
+	for buf, n := make([]byte, handover.MaxMessageSize), 1; n > 0; { // until the node has ended its messages
+		var err error
+		n, err = syscall.Read(other, buf)
+		require.NoError(t, err)
+	}
+	listener, err := stdnet.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer listener.Close()
+	r.address = listener.Addr().String()
+	r.steps("late connect", "late send OPEN 1 a c=lookup,d=4000")
+	accepted, err := listener.Accept()
+	require.NoError(t, err)
+	fd, err := duplicable{accepted.(*stdnet.TCPConn)}.Dup()
+	require.NoError(t, err)
+	require.NoError(t, accepted.Close())
+	message := handover.Message{Kind: handover.KindIdleClient}.Append(nil)
+	require.NoError(t, syscall.Sendmsg(other, message, syscall.UnixRights(fd), nil, 0))
+	require.NoError(t, syscall.Close(fd))
+	require.NoError(t, syscall.Shutdown(other, syscall.SHUT_WR))
+	r.steps("late expect BUSY", "late wait fin", "wait exit")
+	assert.Zero(t, r.node.counters["attempts sent"])
+}
--- a/internal/net/handovermessage.go
+++ b/internal/net/handovermessage.go
@@ -27,19 +27,23 @@
 	return err == nil
 }
 
-// answerFallback writes the last line to the client of a message that cannot be sent. Unread input is read first, as
-// in closing.go.
+// answerFallback writes the last line to the client of a message that cannot be sent.
 func (m *outgoingMessage) answerFallback() {
-	if len(m.descriptors) == 0 || m.fallbackLine == "" {
-		return
+	if len(m.descriptors) > 0 && m.fallbackLine != "" {
+		writeFallback(m.descriptors[0], m.fallbackLine)
 	}
-	client, unread := m.descriptors[0], make([]byte, 2*line.MaxLength)
+}
+
+// writeFallback writes the last line to a client whose socket is on no loop, and ends our sending. Unread input is read
+// first, as in closing.go.
+func writeFallback(client int, lastLine string) {
+	unread := make([]byte, 2*line.MaxLength)
 	for range maxFinalReads {
 		if n, err := syscall.Read(client, unread); err != nil || n <= 0 {
 			break
 		}
 	}
-	_, _ = syscall.Write(client, []byte(m.fallbackLine))
+	_, _ = syscall.Write(client, []byte(lastLine))
 	_ = syscall.Shutdown(client, syscall.SHUT_WR)
 }
 
--- a/internal/net/handovermessage_test.go
+++ b/internal/net/handovermessage_test.go
@@ -2,7 +2,6 @@
 
 import (
 	stdnet "net"
-	"os"
 	"syscall"
 	"testing"
 
@@ -35,14 +34,9 @@
 	defer listener.Close()
 	r.address = listener.Addr().String()
 	r.started = true
-	pair, err := syscall.Socketpair(syscall.AF_UNIX, syscall.SOCK_SEQPACKET|syscall.SOCK_CLOEXEC, 0)
-	require.NoError(t, err)
-	require.NoError(t, syscall.Close(pair[1])) // killed
-	file := os.NewFile(uintptr(pair[0]), "other process")
-	conn, err := stdnet.FileConn(file)
-	require.NoError(t, err)
-	require.NoError(t, file.Close())
-	l := &processLink{conn: conn.(*stdnet.UnixConn), outgoing: make(chan outgoingMessage, maxQueuedMessages), flushed: make(chan struct{})}
+	conn, other := r.linkTo()
+	require.NoError(t, syscall.Shutdown(other, syscall.SHUT_RDWR)) // killed
+	l := &processLink{conn: conn, outgoing: make(chan outgoingMessage, maxQueuedMessages), flushed: make(chan struct{})}
 	handOver := func(client string, kind handover.Kind) {
 		require.NoError(t, r.step(client+" connect"))
 		accepted, err := listener.Accept()
--- a/internal/net/node.go
+++ b/internal/net/node.go
@@ -146,7 +146,7 @@
 	select {
 	case <-n.stopped: // the loop may have ended first, together with its listener
 		if n.finalLink != nil {
-			<-n.finalLink.flushed
+			n.finalLink.awaitEnd()
 		}
 		return nil
 	default:
--- a/internal/net/processlink.go
+++ b/internal/net/processlink.go
@@ -21,6 +21,8 @@
 	older    bool // this process is the older one
 	outgoing chan outgoingMessage
 	flushed  chan struct{} // closed when all outgoing messages are written or the link is broken
+	readAll  chan struct{} // closed when all messages of the other process are read
+	limitAt  time.Time     // when a link that is to end is given up
 	closed   bool
 }
 
@@ -33,7 +35,7 @@
 	n.counters.Add("processes joined")
 	n.link = l
 	n.limitMemory()
-	l.outgoing, l.flushed = make(chan outgoingMessage, maxQueuedMessages), make(chan struct{})
+	l.outgoing, l.flushed, l.readAll = make(chan outgoingMessage, maxQueuedMessages), make(chan struct{}), make(chan struct{})
 	go l.write()
 	go l.read()
 }
@@ -64,15 +66,26 @@
 	}
 }
 
-// limitWrites has messages that are not written in time fail; their clients then get their last lines from this process.
-// Without a limit, another process that does not read would keep this one, and its clients, until it is killed.
-func (l *processLink) limitWrites(remaining time.Duration) {
-	_ = l.conn.SetWriteDeadline(time.Now().Add(remaining)) // fails only if the link is closed
+// limitTo ends the link after a time. Messages that are not written by then fail; their clients get their last lines from
+// this process. Without a limit, another process that hangs would keep this one, and its clients, until it is killed.
+func (l *processLink) limitTo(remaining time.Duration) {
+	l.limitAt = time.Now().Add(remaining)
+	_ = l.conn.SetDeadline(l.limitAt) // fails only if the link is closed
 }
 
+// awaitEnd returns when both processes have read all messages of the other one, or the link is broken or over its limit.
+func (l *processLink) awaitEnd() {
+	<-l.flushed
+	select {
+	case <-l.readAll:
+	case <-time.After(time.Until(l.limitAt)): // a message may have come too late for the event loop
+	}
+}
+
+// write ends with the end of our messages only: those that the other process has sent meanwhile hold its clients.
 func (l *processLink) write() {
 	defer close(l.flushed)
-	defer l.conn.Close()
+	defer l.conn.CloseWrite()
 	broken := false
 	for m := range l.outgoing {
 		if broken = broken || !m.writeTo(l); broken {
@@ -104,6 +117,7 @@
 }
 
 func (l *processLink) read() {
+	defer close(l.readAll)
 	<-l.node.booted
 	buf, rights := make([]byte, handover.MaxMessageSize), make([]byte, unix.CmsgSpace(2*4))
 	for {
@@ -148,31 +162,55 @@
 	n := l.node
 	sockets := make(chan []socket, 1)
 	n.post(func(now time.Duration) {
-		var s []socket
-		switch m.Kind {
-		case handover.KindDescriptorLimit:
-			n.descriptorShare = m.Number
-		case handover.KindActivate:
-			n.log.Info("takes-over")
-			n.leading = true
-			n.table.AddUsedIDs(m.UsedIDs)
-			n.table.StartAsSuccessor(now)
-		case handover.KindIdleClient:
-			s = n.inheritDownstream(now, m)
-		case handover.KindEstablished:
-			s = n.inheritEstablished(now, m)
-		}
+		s := l.receive(now, m)
 		n.dialling += len(s)
 		sockets <- s
 	})
-	for i, s := range <-sockets {
+	var received []socket
+	select {
+	case received = <-sockets:
+	case <-n.stopped: // the event loop ends with its listener
+	}
+	if len(received) < len(conns) {
+		refuseInherited(m.Kind, conns)
+		return
+	}
+	for i, s := range received {
 		if err := n.enrollInherited(s, conns[i]); err != nil {
 			n.dialFailed(s, err)
 		}
 	}
-	if m.Kind == handover.KindEstablished { // still open only if the OPEN line could not be parsed
-		for _, c := range conns {
-			_ = c.Close()
+}
+
+// receive processes a message on the loop, and returns the sockets for its connections. There are none if they cannot be
+// taken over: the process has stopped, or the OPEN line could not be parsed.
+func (l *processLink) receive(now time.Duration, m handover.Message) []socket {
+	n := l.node
+	if n.stoppedServing() {
+		return nil
+	}
+	switch m.Kind {
+	case handover.KindDescriptorLimit:
+		n.descriptorShare = m.Number
+	case handover.KindActivate:
+		n.log.Info("takes-over")
+		n.leading = true
+		n.table.AddUsedIDs(m.UsedIDs)
+		n.table.StartAsSuccessor(now)
+	case handover.KindIdleClient:
+		return n.inheritDownstream(now, m)
+	case handover.KindEstablished:
+		return n.inheritEstablished(now, m)
+	}
+	return nil
+}
+
+// refuseInherited tells the client of connections that cannot be taken over to come again, and closes them.
+func refuseInherited(kind handover.Kind, conns []stdnet.Conn) {
+	for i, c := range conns {
+		if raw, err := c.(*stdnet.TCPConn).SyscallConn(); i == 0 && err == nil {
+			_ = raw.Control(func(fd uintptr) { writeFallback(int(fd), fallbackLines[kind]) })
 		}
+		_ = c.Close()
 	}
 }
--- a/internal/net/successor_test.go
+++ b/internal/net/successor_test.go
@@ -67,18 +67,12 @@
 func TestSuccessorAcceptedAfterDescriptorShortage(t *testing.T) {
 	r := newRig(t)
 	require.NoError(t, r.step("a connect"))
-	pair, err := syscall.Socketpair(syscall.AF_UNIX, syscall.SOCK_SEQPACKET|syscall.SOCK_CLOEXEC, 0)
-	require.NoError(t, err)
-	defer syscall.Close(pair[1])
-	file := os.NewFile(uintptr(pair[0]), "other process")
-	c, err := stdnet.FileConn(file)
-	require.NoError(t, err)
-	require.NoError(t, file.Close())
+	c, _ := r.linkTo()
 	l := scriptedListener{make(chan error, 3), make(chan *stdnet.UnixConn, 1)}
 	l.errors <- syscall.EMFILE
 	l.errors <- nil
 	l.errors <- stdnet.ErrClosed
-	l.conns <- c.(*stdnet.UnixConn)
+	l.conns <- c
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
