A third process waits for the handover of the other two before it may lead

Seen by callers: none reported; listed as open, found by reading. A third process served its share of the clients beside the second, counted all descriptors as its own and took the place at which the next version joins.

Cause: the leading process closes the connection of any successor but the first, and the refused one took that for the end of the older process and led.

Change: joinRunningProcess, now in a file of its own, looks whether it was accepted before the listener is opened. The accepting process sends its first message without a limit of descriptors too.

--- a/internal/net/handover.go
+++ b/internal/net/handover.go
@@ -46,16 +46,17 @@
 // to the second address, discovery, probes, and a few clients that are being passed on.
 const followerDescriptors = reservedDescriptors + maxAdminConns + 12
 
-// grantDescriptors allots descriptors to the younger process; the rest remains for this one.
+// grantDescriptors allots descriptors to the younger process; the rest remains for this one. The first message also tells
+// it that it was accepted, so it is sent without a limit too.
 func (n *Node) grantDescriptors(granted int) {
-	if n.cfg.MaxSockets > 0 && n.link.send(handover.Message{Kind: handover.KindDescriptorLimit, Number: granted}) {
+	if n.link.send(handover.Message{Kind: handover.KindDescriptorLimit, Number: granted}) && n.cfg.MaxSockets > 0 {
 		n.descriptorShare = n.cfg.MaxSockets - granted
 	}
 }
 
 // releaseDescriptors allots the descriptors of connections that were passed on to the younger process.
 func (n *Node) releaseDescriptors() {
-	if n.link == nil || !n.link.older {
+	if n.link == nil || !n.link.older || n.cfg.MaxSockets <= 0 {
 		return
 	}
 	if needs := n.descriptorShare - n.descriptorsLeft() + followerDescriptors; needs < n.descriptorShare {
--- a/internal/net/node.go
+++ b/internal/net/node.go
@@ -96,6 +96,7 @@
 	lineTimeout         time.Duration // how long a client's line may remain unanswered
 	commandTimeout      time.Duration // how long a downstream socket may go without a complete command
 
+	joinWait     time.Duration // how long a new process that was refused tries to join the running one
 	probeTimeout time.Duration // how long a desk host may take to answer a probe
 	listWaitEnds time.Duration // when health stops waiting for a pushed list
 	listWait     time.Duration // how long it waits; with 0, requests do not wait for a first list either
@@ -109,7 +110,7 @@
 	n := &Node{cfg: cfg, log: log.With("balancer", cfg.Name), initialList: known, metricsOutput: out, sharedDir: sharedDir, leading: true,
 		origin: time.Now(), counters: counters.Set{}, addresses: map[string]netip.AddrPort{},
 		booted: make(chan struct{}), stopped: make(chan struct{}), lineTimeout: defaultLineTimeout,
-		commandTimeout: defaultCommandTimeout, probeTimeout: defaultProbeTimeout, listWait: defaultListWait,
+		commandTimeout: defaultCommandTimeout, probeTimeout: defaultProbeTimeout, listWait: defaultListWait, joinWait: defaultJoinWait,
 		processDescriptorLimit: processDescriptorLimit()}
 	n.connect = (&stdnet.Dialer{KeepAlive: -1}).DialContext
 	n.watch = newWatch(n, cfg.DiscoveryAddr)
@@ -123,7 +124,9 @@
 // Run serves until the node has drained or its listener fails.
 func (n *Node) Run() error {
 	failed := make(chan error, 1)
-	n.joinRunningProcess()
+	if err := n.joinRunningProcess(); err != nil {
+		return err
+	}
 	addresses := []string{"tcp://" + n.cfg.ListenAddr}
 	if n.cfg.AdminAddr != "" {
 		at, err := stdnet.ResolveTCPAddr("tcp", n.cfg.AdminAddr)
--- a/internal/net/successor.go
+++ b/internal/net/successor.go
@@ -17,25 +17,6 @@
 	return filepath.Join(n.sharedDir, "tealtiller-"+strings.ReplaceAll(n.cfg.ListenAddr, "/", "_"))
 }
 
-// joinRunningProcess connects to a process that already serves at this address. If there is none, a later process may
-// join this one. It is called before the listener is opened, so that no client reaches a process that does not know
-// whether it leads.
-func (n *Node) joinRunningProcess() {
-	path := n.rendezvousPath()
-	if path == "" {
-		return
-	}
-	c, err := stdnet.DialUnix("unixpacket", nil, &stdnet.UnixAddr{Name: path, Net: "unixpacket"})
-	if err != nil { // no file, or one left by a killed process
-		n.awaitSuccessor()
-		return
-	}
-	n.log.Info("joined-running-process")
-	n.leading = false
-	n.descriptorShare = followerDescriptors
-	n.attachLink(&processLink{node: n, conn: c})
-}
-
 // awaitSuccessor lets new processes connect, of which one at a time may take over. If the socket cannot be created
 // now, it is tried again.
 func (n *Node) awaitSuccessor() {
