A process that has dismissed its clients ends even if the other process does

Seen by callers: not seen between processes; found by reading the repair of the handover, forced in a test.

Cause: past the handover's deadline the process took its part in handOverAll only while the link stood. If the link broke then, as it does where the other process hangs, mode pass went back to the ordinary drain, which waits for a quiet time and allows handshakes again: a client could come in and be cut off by the kill.

Change: handoverDeadlinePassed, set as the last clients are dismissed, keeps the process on its way out and refuses requests from then on, with or without the link. drainDeadlinePassed is again for processes without a successor alone.

Result: TestHandoverEndsThoughItsLinkBreaks fails in mode pass with the condition taken out; internal/net passes.

--- a/internal/net/drain.go
+++ b/internal/net/drain.go
@@ -64,7 +64,7 @@
 // relayed as long as the process runs. Whoever stops the process for good first routes its packets to another
 // balancer.
 func (n *Node) drainFinished(now, latest time.Duration) bool {
-	if n.link != nil && !n.leading { // the other process continues all connections
+	if n.link != nil && !n.leading || n.handoverDeadlinePassed { // the other process continues all connections
 		return n.handOverAll(now)
 	}
 	if !n.cfg.Settings.PassThrough {
@@ -109,12 +109,10 @@
 
 // pastDrainDeadline reports whether a request comes too late to be started. Where packets pass through, a drain
 // continues after its deadline but may be killed at any moment, and requests accepted then would be lost. Requests of
-// open connections are still relayed, unless another process serves them.
+// open connections are still relayed. A process that has handed over ends at once, and starts none.
 func (n *Node) pastDrainDeadline(o line.OpenRequest) bool {
-	if !n.leading {
-		return n.drainDeadlinePassed
-	}
-	return n.drainDeadlinePassed && n.cfg.Settings.PassThrough && !o.MidFlow && o.HostID == ""
+	return n.handoverDeadlinePassed ||
+		n.drainDeadlinePassed && n.leading && n.cfg.Settings.PassThrough && !o.MidFlow && o.HostID == ""
 }
 
 // dismissIdle refuses idle clients. Where packets pass through, the process may be killed at any moment from now on,
@@ -170,7 +168,7 @@
 	n.closingSince, n.closeDeadline = now, now+maxFinalClose
 	lastCheck := latest + 3*drainCheckInterval // the process is killed soon after the deadline
 	switch {
-	case !n.leading: // clients may still be handed over until then
+	case !n.leading || n.handoverDeadlinePassed: // clients may still be handed over until then
 		n.closeDeadline = lastCheck
 	case !n.cfg.Settings.PassThrough:
 		n.closeDeadline = min(n.closeDeadline, lastCheck)
--- a/internal/net/handover.go
+++ b/internal/net/handover.go
@@ -91,7 +91,8 @@
 }
 
 // handOverAll passes on all connections that it can, and reports whether this process may end: when all are passed on
-// and the listener is closed, or at the drain deadline, once the clients of what is left are answered or moved.
+// and the listener is closed, or at the drain deadline, once the clients of what is left are answered or moved. From then
+// on it ends even if the other process does.
 func (n *Node) handOverAll(now time.Duration) bool {
 	for _, d := range n.downstreams.All() {
 		if d.passOn(now) {
@@ -115,7 +116,7 @@
 // process may be killed at any moment from now on: requests that desk hosts have not answered, connections with output
 // that a peer does not read or that wait for last lines, and clients that the other process does not take.
 func (n *Node) dismissRemaining(now time.Duration) {
-	n.drainDeadlinePassed = true
+	n.handoverDeadlinePassed = true
 	unanswered, moved := n.table.Unanswered(), n.establishedCount()
 	if unanswered+moved > 0 {
 		n.log.Warn("not-handed-over", "unanswered", unanswered, "moved", moved)
--- a/internal/net/handover_test.go
+++ b/internal/net/handover_test.go
@@ -124,6 +124,31 @@
 	r.steps("late expect BUSY", "late wait fin", "wait count attempts sent 0")
 }
 
+// Guards against a process that goes on after it has dismissed its clients, and is killed with new ones, because the link
+// broke at that moment and a client has just asked for a connection.
+func TestHandoverEndsThoughItsLinkBreaks(t *testing.T) {
+	for _, mode := range []string{"proxy", "pass"} {
+		t.Run(mode, func(t *testing.T) {
+			r := newRig(t)
+			r.settings["mode"], r.settings["deadline"] = mode, "200ms"
+			r.establish("open", "d", "1")
+			r.attachUnreadLink()
+			r.onLoop(func(now time.Duration) {
+				n := r.node
+				latest := n.beginDrain(now)
+				for n.link.send(handover.Message{Kind: handover.KindDescriptorLimit}) { // the client cannot be passed on
+				}
+				assert.False(t, n.drainFinished(latest, latest))
+				n.lastOpenAt = latest
+				n.detachLink(n.link)
+				assert.True(t, n.drainFinished(latest+3*drainCheckInterval, latest))
+				n.stop()
+			})
+			r.steps("open expect MOVE", "open wait fin", "wait exit")
+		})
+	}
+}
+
 // Guards against clients that are moved at once when a new process joins one that has drained for longer than its drain
 // deadline, as packets pass through: there is a deadline for the handover.
 func TestHandoverAfterTheDrainDeadlineHasItsOwn(t *testing.T) {
--- a/internal/net/node.go
+++ b/internal/net/node.go
@@ -80,21 +80,22 @@
 	adminConns             []*adminConn // oldest first
 	adminAddress           string       // resolved second address; empty without one
 
-	startFailureLogged  bool // used by OnTick only
-	pendingEvents       []func(now time.Duration)
-	runningEvents       bool // runEvent is active
-	timer               *time.Timer
-	timerAt             time.Duration // deadline for which timer is set; 0 once it has fired
-	draining            bool
-	closingSince        time.Duration // when idle clients were dismissed; 0 before that
-	closeDeadline       time.Duration // when the remaining connections are closed
-	handoverDeadline    time.Duration // when a drain with another process must be over
-	drainDeadlinePassed bool          // the drain deadline has expired and pending requests were answered
-	lastOpenAt          time.Duration // when the last OPEN arrived
-	stopped             chan struct{} // closed when the process may end
-	finalLink           *processLink  // link whose messages must be written before the process ends
-	lineTimeout         time.Duration // how long a client's line may remain unanswered
-	commandTimeout      time.Duration // how long a downstream socket may go without a complete command
+	startFailureLogged     bool // used by OnTick only
+	pendingEvents          []func(now time.Duration)
+	runningEvents          bool // runEvent is active
+	timer                  *time.Timer
+	timerAt                time.Duration // deadline for which timer is set; 0 once it has fired
+	draining               bool
+	closingSince           time.Duration // when idle clients were dismissed; 0 before that
+	closeDeadline          time.Duration // when the remaining connections are closed
+	handoverDeadline       time.Duration // when a drain with another process must be over
+	handoverDeadlinePassed bool          // pending requests were answered, and this process ends
+	drainDeadlinePassed    bool          // the drain deadline has expired and pending requests were answered
+	lastOpenAt             time.Duration // when the last OPEN arrived
+	stopped                chan struct{} // closed when the process may end
+	finalLink              *processLink  // link whose messages must be written before the process ends
+	lineTimeout            time.Duration // how long a client's line may remain unanswered
+	commandTimeout         time.Duration // how long a downstream socket may go without a complete command
 
 	joinWait     time.Duration // how long a new process that was refused tries to join the running one
 	probeTimeout time.Duration // how long a desk host may take to answer a probe
